--- /dev/null
+++ b/src/core/fleet.ts
@@ -0,0 +1,203 @@
+/** How many machines, of which type, where, and of which kind. */
+import * as Duration from "effect/Duration";
+import { type Instant, passed, plus } from "./time.js";
+import { allowsType, allowsZone } from "./admission.js";
+import type { Cluster, Job, Machine } from "./cluster.js";
+import { occupies } from "./cluster.js";
+import type { JobSpec, MachineType } from "./records.js";
+import { allowed, freeRoom, type Room, slots } from "./placement.js";
+
+export interface Offer {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+export const offerKey = (type: string, zone: string, spot: boolean): string =>
+  `${type} ${zone} ${spot ? "spot" : "ordinary"}`;
+
+export interface FleetOptions {
+  /** Share of the room now taken by short tasks that queued tasks of each kind may wait for. */
+  readonly reuse: number;
+  readonly idleFor: Duration.Duration;
+  /** Seconds of arriving work for which room is kept free. */
+  readonly warmFor: Duration.Duration;
+}
+
+export interface Rent extends Offer {
+  readonly count: number;
+}
+
+const REFUSED_FOR = Duration.seconds(15);
+
+/** Remembers refusals, arrivals and requests under way. Pure: time comes in as an argument. */
+export class Fleet {
+  private refusedUntil = new Map<string, Instant>();
+  /** Rentals asked for but not yet answered, by rental name. */
+  readonly asked = new Map<string, { offer: Offer; count: number; at: Instant }>();
+  private arrivals: { at: Instant; spec: JobSpec }[] = [];
+
+  constructor(private readonly options: FleetOptions) {}
+
+  refused(key: string, now: Instant): void {
+    this.refusedUntil.set(key, plus(now, REFUSED_FOR));
+  }
+
+  arrived(spec: JobSpec, now: Instant): void {
+    this.arrivals.push({ at: now, spec });
+    if (this.arrivals.length > 2000) this.arrivals.splice(0, 1000);
+  }
+
+  private offers(types: readonly MachineType[], spec: JobSpec, now: Instant): Offer[] {
+    const out: Offer[] = [];
+    for (const type of types) {
+      if (!allowsType(spec, type)) continue;
+      for (const zone of type.zones) {
+        if (!allowsZone(spec, zone)) continue;
+        for (const spot of spec.spot ? [true, false] : [false]) {
+          const until = this.refusedUntil.get(offerKey(type.name, zone, spot));
+          if (until === undefined || now >= until) out.push({ type, zone, spot });
+        }
+      }
+    }
+    return out;
+  }
+
+  /** Rentals for what neither free nor booting machines will hold. */
+  rent(
+    cluster: Cluster,
+    queue: readonly { job: Job; tasks: number }[],
+    types: readonly MachineType[],
+    now: Instant,
+    isUsable: (m: Machine) => boolean,
+  ): Rent[] {
+    const rooms: { type: string; zone: string; spot: boolean; room: Room; short: Room }[] = [];
+    const byName = new Map(types.map((t) => [t.name, t]));
+    for (const m of cluster.machines.values()) {
+      const type = byName.get(m.type);
+      if (type === undefined) continue;
+      const booting =
+        m.heard === null && m.releasing === null && !m.failed && !passed(now, m.created, Duration.times(type.boot, 2));
+      if (!isUsable(m) && !booting) continue;
+      const room = booting ? { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb } : freeRoom(m);
+      const short: Room = { cpus: 0, gpus: 0, memoryGb: 0 };
+      for (const hold of m.holds.values())
+        if (hold.spec !== null && hold.spec.kind !== "service" && occupies(hold)) {
+          short.cpus += hold.spec.cpus * this.options.reuse;
+          short.gpus += hold.spec.gpus * this.options.reuse;
+          short.memoryGb += hold.spec.memoryGb * this.options.reuse;
+        }
+      rooms.push({ type: m.type, zone: m.zone, spot: m.spot, room, short });
+    }
+    for (const { offer, count } of this.asked.values())
+      for (let i = 0; i < count; i++) {
+        const { cpus, gpus, memoryGb } = offer.type;
+        rooms.push({
+          type: offer.type.name,
+          zone: offer.zone,
+          spot: offer.spot,
+          room: { cpus, gpus, memoryGb },
+          short: { cpus: 0, gpus: 0, memoryGb: 0 },
+        });
+      }
+
+    const out: Rent[] = [];
+    const take = (spec: JobSpec, tasks: number, useShort: boolean): number => {
+      let left = tasks;
+      for (const r of rooms) {
+        if (left <= 0) break;
+        if (!allowed(spec, r)) continue;
+        for (const room of useShort ? [r.room, r.short] : [r.room]) {
+          const n = Math.min(left, slots(spec, room));
+          room.cpus -= n * spec.cpus;
+          room.gpus -= n * spec.gpus;
+          room.memoryGb -= n * spec.memoryGb;
+          left -= n;
+        }
+      }
+      return left;
+    };
+    const want = (spec: JobSpec, tasks: number, useShort: boolean): void => {
+      const left = take(spec, tasks, useShort);
+      if (left <= 0 || out.length >= 2) return;
+      const offer = this.cheapest(types, spec, left, now);
+      if (offer === null) return;
+      out.push(offer);
+      for (let i = 0; i < offer.count; i++) {
+        const { cpus, gpus, memoryGb } = offer.type;
+        const room = { cpus, gpus, memoryGb };
+        rooms.push({
+          type: offer.type.name,
+          zone: offer.zone,
+          spot: offer.spot,
+          room,
+          short: { cpus: 0, gpus: 0, memoryGb: 0 },
+        });
+      }
+      take(spec, left, false);
+    };
+    for (const { job, tasks } of queue) want(job.spec, tasks, job.spec.kind === "array");
+    for (const { spec, tasks } of this.expected(now)) want(spec, tasks, false);
+    return out;
+  }
+
+  /** Work that is likely to arrive within `warmFor`, from what arrived lately. */
+  private expected(now: Instant): { spec: JobSpec; tasks: number }[] {
+    const window = Duration.minutes(2);
+    this.arrivals = this.arrivals.filter((a) => !passed(now, a.at, window));
+    const byClass = new Map<string, { spec: JobSpec; tasks: number }>();
+    for (const { spec } of this.arrivals) {
+      if (spec.priority === "low") continue;
+      const row = byClass.get(spec.className);
+      if (row === undefined) byClass.set(spec.className, { spec, tasks: spec.tasks });
+      else row.tasks += spec.tasks;
+    }
+    const share = Duration.toMillis(this.options.warmFor) / Duration.toMillis(window);
+    return [...byClass.values()]
+      .map(({ spec, tasks }) => ({ spec, tasks: Math.ceil(tasks * share) }))
+      .filter((row) => row.tasks > 0);
+  }
+
+  private cheapest(types: readonly MachineType[], spec: JobSpec, tasks: number, now: Instant): Rent | null {
+    let best: Rent | null = null;
+    let bestCost = Infinity;
+    for (const offer of this.offers(types, spec, now)) {
+      const { type, spot } = offer;
+      const each = slots(spec, type);
+      const count = Math.min(10, Math.ceil(tasks / each));
+      const price = spot ? type.spotPrice : type.price;
+      const cost = (price * count) / Math.min(tasks, each * count);
+      if (cost < bestCost - 1e-9) {
+        best = { ...offer, count };
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** Idle machines to return: never more than leaves room for the expected arrivals. */
+  spare(cluster: Cluster, now: Instant, isUsable: (m: Machine) => boolean): Machine[] {
+    const idle: Machine[] = [];
+    for (const m of cluster.machines.values())
+      if (m.idleSince !== null && m.releasing === null && passed(now, m.idleSince, this.options.idleFor)) idle.push(m);
+    if (idle.length === 0) return [];
+    const rooms = [...cluster.machines.values()].filter(isUsable).map((m) => ({ m, room: freeRoom(m) }));
+    const needed = new Set<string>();
+    // fullest first: what fits beside running work needs no idle machine
+    rooms.sort((a, b) => a.room.cpus / a.m.cpus - b.room.cpus / b.m.cpus);
+    for (const { spec, tasks } of this.expected(now)) {
+      let left = tasks;
+      for (const { m, room } of rooms) {
+        if (left <= 0) break;
+        if (!allowed(spec, m)) continue;
+        const n = Math.min(left, slots(spec, room));
+        if (n <= 0) continue;
+        room.cpus -= n * spec.cpus;
+        room.gpus -= n * spec.gpus;
+        room.memoryGb -= n * spec.memoryGb;
+        left -= n;
+        needed.add(m.id);
+      }
+    }
+    return idle.filter((m) => !needed.has(m.id));
+  }
+}
--- /dev/null
+++ b/src/core/records.ts
@@ -0,0 +1,138 @@
+/** What the state service keeps, and the words the core uses for jobs, tasks and machines. */
+import type * as Duration from "effect/Duration";
+import type { Range } from "./ranges.js";
+
+export type Kind = "array" | "gang" | "service";
+export type Priority = "production" | "high" | "normal" | "low";
+export const RANK: Record<Priority, number> = { production: 3, high: 2, normal: 1, low: 0 };
+
+export interface JobSpec {
+  readonly id: string;
+  readonly className: string;
+  readonly team: string;
+  readonly kind: Kind;
+  readonly priority: Priority;
+  readonly tasks: number;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  readonly image: string;
+  readonly imageGb: number;
+  readonly types: readonly string[] | null;
+  readonly zone: string | null;
+  readonly oneZone: boolean;
+  readonly spread: boolean;
+  readonly spot: boolean;
+  readonly estimate: Duration.Duration;
+  readonly checkpoint: Duration.Duration;
+  readonly save: Duration.Duration;
+  readonly deadline: Duration.Duration | null;
+}
+
+export type Outcome = "done" | "cancelled";
+export interface CommitRecord {
+  readonly outcome: Outcome;
+  readonly tasks: number;
+}
+export interface MachineRecord {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly addr: string | null;
+}
+export interface RentalRecord {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly count: number;
+}
+export interface TermMember {
+  readonly name: string;
+  /** Which process of that member: the stamp of its member record. */
+  readonly incarnation: number;
+  readonly zone: string;
+}
+export interface TermRecord {
+  readonly token: number;
+  readonly leader: string;
+  readonly members: readonly TermMember[];
+}
+export interface MemberRecord {
+  readonly zone: string;
+  readonly permit: number;
+}
+export interface LeaderRecord {
+  readonly member: string;
+  readonly permit: number;
+}
+export interface RangesRecord {
+  readonly ranges: readonly Range[];
+}
+export interface MachineType {
+  readonly name: string;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  readonly cacheGb: number;
+  readonly fetchGbPerS: number;
+  readonly price: number;
+  readonly spotPrice: number;
+  readonly boot: Duration.Duration;
+  readonly zones: readonly string[];
+}
+export interface Team {
+  readonly name: string;
+  readonly cpus: number;
+  readonly cpusMax: number;
+  readonly gpus: number;
+  readonly gpusMax: number;
+}
+
+export type TaskState = "fetching" | "waiting" | "running" | "saving" | "exited";
+export type Why = "done" | "stopped" | "peers" | "alone" | "error" | "no_room" | "busy" | "unknown";
+export interface TaskReport {
+  readonly job: string;
+  readonly index: number;
+  readonly attempt: number;
+  readonly state: TaskState;
+  readonly why: Why | null;
+}
+export interface WorkerReport {
+  readonly machine: string;
+  readonly addr: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly session: number;
+  readonly seq: number;
+  readonly token: number;
+  readonly noticeS: number | null;
+  readonly tasks: readonly TaskReport[];
+}
+export interface Order {
+  readonly op: "start" | "stop" | "forget";
+  readonly job: string;
+  readonly index: number;
+  readonly attempt: number;
+  readonly graceS: number;
+}
+
+export const keys = {
+  cluster: "cluster/",
+  leader: "cluster/leader",
+  term: "cluster/term",
+  members: "cluster/member/",
+  member: (name: string) => `cluster/member/${name}`,
+  types: "types",
+  jobs: "job/",
+  job: (id: string) => `job/${id}`,
+  commit: (id: string) => `commit/${id}`,
+  ranges: "ranges/",
+  rangesOf: (id: string, writer: string, chunk: number) => `ranges/${id}/${writer}/${chunk}`,
+  machines: "machine/",
+  machine: (id: string) => `machine/${id}`,
+  rentals: "rental/",
+  rental: (name: string) => `rental/${name}`,
+};
+
+export const taskName = (job: string, index: number): string => `${job}/${index}`;
--- /dev/null
+++ b/src/core/term.ts
@@ -0,0 +1,70 @@
+/** Who leads, how long a node may act, and which member takes care of which machine. */
+import * as Duration from "effect/Duration";
+import { type Instant, passed, stretched } from "./time.js";
+import type { TermMember, TermRecord } from "./records.js";
+
+/** Every span that the safety argument of docs/design.md names, derived from the platform's settings. */
+export interface Spans {
+  /** Life of a member's lease in the state service. */
+  readonly ttl: Duration.Duration;
+  /** How long a node may act after sending the last renewal that showed its term current. */
+  readonly fence: Duration.Duration;
+  readonly renewEvery: Duration.Duration;
+  readonly workerLease: Duration.Duration;
+  readonly reportEvery: Duration.Duration;
+  readonly cancel: Duration.Duration;
+  /** From the start of a term on: after this, a machine that nobody answered holds nothing old. */
+  readonly machineGone: Duration.Duration;
+}
+
+export const spansOf = (
+  workers: { leaseS: number; reportS: number; cancelS: number },
+  ttl: Duration.Duration,
+): Spans => {
+  // fence < ttl by a margin for drift and for delay; fence + lease_s < cancel_s
+  const room = (workers.cancelS - workers.leaseS) * 1000 * 0.8;
+  const fence = Duration.millis(Math.min(Duration.toMillis(ttl) * 0.8 - 100, room));
+  const workerLease = Duration.seconds(workers.leaseS);
+  return {
+    ttl,
+    fence,
+    renewEvery: Duration.millis(Duration.toMillis(ttl) / 4),
+    workerLease,
+    reportEvery: Duration.seconds(workers.reportS),
+    cancel: Duration.seconds(workers.cancelS),
+    machineGone: Duration.sum(stretched(Duration.sum(fence, workerLease)), Duration.millis(500)),
+  };
+};
+
+/** May this node act for the controllers? `confirmed` is when it *sent* the renewal that succeeded. */
+export const entitled = (spans: Spans, confirmed: Instant | null, now: Instant): boolean =>
+  confirmed !== null && !passed(now, confirmed, spans.fence);
+
+const hash = (text: string): number => {
+  // FNV-1a with a final mix: every node must come to the same number
+  let h = 0x811c9dc5;
+  for (let i = 0; i < text.length; i++) h = Math.imul(h ^ text.charCodeAt(i), 0x01000193);
+  h = Math.imul(h ^ (h >>> 16), 0x85ebca6b);
+  h = Math.imul(h ^ (h >>> 13), 0xc2b2ae35);
+  return (h ^ (h >>> 16)) >>> 0;
+};
+
+/** Rendezvous hash: the member whose part a machine belongs to; members of its own zone come first. */
+export const ownerOf = (term: TermRecord, machine: string, zone: string): TermMember | null => {
+  const near = term.members.filter((m) => m.zone === zone);
+  let best: TermMember | null = null;
+  let bestScore = -1;
+  for (const member of near.length > 0 ? near : term.members) {
+    const score = hash(`${member.name} ${machine}`);
+    if (score > bestScore) {
+      best = member;
+      bestScore = score;
+    }
+  }
+  return best;
+};
+
+/** The members that hold keys now make a new term when they differ from the ones the term names. */
+export const sameMembers = (a: readonly TermMember[], b: readonly TermMember[]): boolean =>
+  a.length === b.length &&
+  a.every((m) => b.some((n) => n.name === m.name && n.incarnation === m.incarnation));
--- /dev/null
+++ b/src/core/time.ts
@@ -0,0 +1,23 @@
+/**
+ * Time inside the core. Durations are effect's Duration; a moment is an Instant on this process's steady
+ * clock. Node 20 has no such type (only the wall clock's Date), so this is its nearest kin: milliseconds
+ * since an arbitrary start, branded so that it can't be mixed up with a plain number.
+ */
+import * as Duration from "effect/Duration";
+
+export type Instant = number & { readonly Instant: unique symbol };
+
+export const instant = (ms: number): Instant => ms as Instant;
+export const plus = (at: Instant, by: Duration.Duration): Instant => (at + Duration.toMillis(by)) as Instant;
+export const minus = (at: Instant, by: Duration.Duration): Instant => (at - Duration.toMillis(by)) as Instant;
+/** How long ago `earlier` was, seen at `now`. */
+export const since = (now: Instant, earlier: Instant): Duration.Duration =>
+  Duration.millis(Math.max(0, now - earlier));
+/** Whether at least `span` has passed from `earlier` to `now`. */
+export const passed = (now: Instant, earlier: Instant, span: Duration.Duration): boolean =>
+  now - earlier >= Duration.toMillis(span);
+
+/** The steady clocks of two machines drift apart by as much as 0.05%; we allow four times that. */
+export const DRIFT = 0.002;
+export const stretched = (span: Duration.Duration): Duration.Duration =>
+  Duration.millis(Duration.toMillis(span) * (1 + DRIFT));
--- /dev/null
+++ b/src/io/call.ts
@@ -0,0 +1,93 @@
+/** Outgoing HTTP calls over Node's http, as effects that say whether a failed call may have been carried out. */
+import http from "node:http";
+import * as Data from "effect/Data";
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+
+export interface Reply {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+/** `sent`: the request may have reached the other side, and may be carried out, now or later. */
+export class CallFailed extends Data.TaggedError("CallFailed")<{ readonly sent: boolean; readonly why: string }> {}
+
+export interface Call {
+  readonly addr: string;
+  readonly method: "GET" | "POST" | "DELETE";
+  readonly path: string;
+  readonly body?: string | Buffer;
+  readonly type?: string;
+  readonly timeout: Duration.Duration;
+}
+
+export const makeAgent = (sockets: number): http.Agent =>
+  new http.Agent({ keepAlive: true, maxSockets: sockets, maxFreeSockets: sockets, scheduling: "lifo" });
+
+const MAX_REPLY = 64 * 1024 * 1024;
+
+export const call = (agent: http.Agent, c: Call): Effect.Effect<Reply, CallFailed> =>
+  Effect.async<Reply, CallFailed>((resume) => {
+    const colon = c.addr.lastIndexOf(":");
+    let sent = false;
+    let over = false;
+    const finish = (result: Effect.Effect<Reply, CallFailed>): void => {
+      if (over) return;
+      over = true;
+      clearTimeout(timer);
+      resume(result);
+    };
+    const fail = (why: string): void => finish(Effect.fail(new CallFailed({ sent, why })));
+    const headers: http.OutgoingHttpHeaders = {};
+    if (c.body !== undefined) {
+      headers["content-type"] = c.type ?? "application/json";
+      headers["content-length"] = Buffer.byteLength(c.body);
+    }
+    const request = http.request({
+      agent,
+      host: c.addr.slice(0, colon),
+      port: Number(c.addr.slice(colon + 1)),
+      method: c.method,
+      path: c.path,
+      headers,
+    });
+    const timer = setTimeout(() => {
+      fail("timeout");
+      request.destroy();
+    }, Duration.toMillis(c.timeout));
+    request.on("socket", (socket) => {
+      // a connection that was given up before it stood does not complete later
+      if (!socket.connecting) sent = true;
+      else socket.once("connect", () => (sent = true));
+    });
+    request.on("error", (error) => fail(error.message));
+    request.on("response", (response) => {
+      const chunks: Buffer[] = [];
+      let size = 0;
+      response.on("data", (chunk: Buffer) => {
+        size += chunk.length;
+        if (size > MAX_REPLY) request.destroy(new Error("reply too large"));
+        else chunks.push(chunk);
+      });
+      response.on("error", (error) => fail(error.message));
+      response.on("aborted", () => fail("connection lost"));
+      response.on("end", () =>
+        finish(Effect.succeed({ status: response.statusCode ?? 0, body: Buffer.concat(chunks) })),
+      );
+    });
+    request.end(c.body);
+    return Effect.sync(() => {
+      over = true;
+      clearTimeout(timer);
+      request.destroy();
+    });
+  });
+
+/** The body as JSON, or undefined. */
+export const json = (reply: Reply): unknown => {
+  try {
+    return JSON.parse(reply.body.toString("utf8")) as unknown;
+  } catch {
+    return undefined;
+  }
+};
--- /dev/null
+++ b/src/io/cloud-client.ts
@@ -0,0 +1,97 @@
+/** The cloud: machine types, rentals, releases and the machine list, within its request rate. */
+import * as Data from "effect/Data";
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+import { Budget } from "../core/budget.js";
+import { call, json, makeAgent, type Reply } from "./call.js";
+import { now } from "./clock.js";
+import {
+  listedMachines,
+  type ListedMachine,
+  listPath,
+  releaseBody,
+  releasePath,
+  rentBody,
+  rentedMachines,
+  rentPath,
+  typesPath,
+  wireTypes,
+  type WireType,
+} from "./codec.js";
+
+export class CloudFailed extends Data.TaggedError("CloudFailed")<{ readonly sent: boolean; readonly why: string }> {}
+
+export class CloudClient {
+  private readonly agent = makeAgent(6);
+  private readonly budget: Budget;
+
+  constructor(
+    private readonly addr: string,
+    rps: number,
+  ) {
+    // the leader makes nearly all calls; a little is left for the others' start
+    this.budget = new Budget(rps * 0.8, Math.max(1, rps));
+  }
+
+  private send(method: "GET" | "POST", path: string, body?: string): Effect.Effect<Reply, CloudFailed> {
+    const admit: Effect.Effect<void> = Effect.suspend(() => {
+      const wait = this.budget.take(now());
+      return Duration.toMillis(wait) === 0 ? Effect.void : Effect.zipRight(Effect.sleep(wait), admit);
+    });
+    return Effect.zipRight(
+      admit,
+      call(this.agent, {
+        addr: this.addr,
+        method,
+        path,
+        timeout: Duration.seconds(4),
+        ...(body === undefined ? {} : { body }),
+      }),
+    ).pipe(
+      Effect.mapError((e) => new CloudFailed({ sent: e.sent, why: e.why })),
+      Effect.tap((reply) =>
+        Effect.sync(() => {
+          if (reply.status === 429) this.budget.refused(now(), Duration.seconds(1));
+        }),
+      ),
+    );
+  }
+
+  types(): Effect.Effect<WireType[], CloudFailed> {
+    return Effect.flatMap(this.send("GET", typesPath), (reply) => {
+      const rows = reply.status === 200 ? wireTypes(json(reply)) : null;
+      return rows === null
+        ? Effect.fail(new CloudFailed({ sent: false, why: `status ${reply.status}` }))
+        : Effect.succeed(rows);
+    });
+  }
+
+  /** The machines rented; null: none to be had. Fails when it can't be told whether it was carried out. */
+  rent(name: string, type: string, zone: string, spot: boolean, count: number): Effect.Effect<string[] | null, CloudFailed> {
+    return Effect.flatMap(this.send("POST", rentPath, rentBody(name, type, zone, spot, count)), (reply) => {
+      const body = json(reply);
+      if (reply.status === 200) return Effect.succeed(rentedMachines(body));
+      const why = (body as { error?: string } | undefined)?.error ?? `status ${reply.status}`;
+      if (reply.status === 400 || (reply.status === 503 && why === "no capacity")) return Effect.succeed(null);
+      return Effect.fail(new CloudFailed({ sent: false, why }));
+    });
+  }
+
+  release(machines: readonly string[]): Effect.Effect<void, CloudFailed> {
+    return Effect.flatMap(this.send("POST", releasePath, releaseBody(machines)), (reply) =>
+      reply.status === 200 ? Effect.void : Effect.fail(new CloudFailed({ sent: false, why: `status ${reply.status}` })),
+    );
+  }
+
+  list(): Effect.Effect<ListedMachine[], CloudFailed> {
+    const page = (from: string | null, rows: ListedMachine[]): Effect.Effect<ListedMachine[], CloudFailed> =>
+      Effect.flatMap(this.send("GET", listPath(from)), (reply) => {
+        const got = reply.status === 200 ? listedMachines(json(reply)) : null;
+        if (got === null) return Effect.fail(new CloudFailed({ sent: false, why: `status ${reply.status}` }));
+        rows.push(...got.rows);
+        const last = rows.at(-1);
+        return got.more && last !== undefined ? page(last.id, rows) : Effect.succeed(rows);
+      });
+    return page(null, []);
+  }
+}
--- /dev/null
+++ b/src/io/codec.ts
@@ -0,0 +1,346 @@
+/** The only place that knows the names on the wire. Inside, the field's standard terms are used. */
+import { Ajv } from "ajv";
+import * as Duration from "effect/Duration";
+import type {
+  JobSpec,
+  Kind,
+  MachineType,
+  Order,
+  Priority,
+  TaskReport,
+  TaskState,
+  Why,
+  WorkerReport,
+} from "../core/records.js";
+import { taskName } from "../core/records.js";
+import { submissionSchema } from "./schemas.js";
+
+// --- users ----------------------------------------------------------------------------------------------
+
+export interface WireJob {
+  ref: string;
+  roster: string;
+  crew: string;
+  shape: "array" | "ensemble" | "daemon";
+  urgency: "critical" | "urgent" | "normal" | "idle";
+  chores: number;
+  vcpus: number;
+  gpus?: number | null;
+  mem_gb: number;
+  bundle: string;
+  image_gb: number;
+  builds?: string[] | null;
+  district?: string | null;
+  together?: boolean | null;
+  apart?: boolean | null;
+  loaners?: boolean | null;
+  expected_s?: number | null;
+  bookmark_s?: number | null;
+  stash_s?: number | null;
+  due_s?: number | null;
+}
+
+const KINDS: Record<WireJob["shape"], Kind> = { array: "array", ensemble: "gang", daemon: "service" };
+const PRIORITIES: Record<WireJob["urgency"], Priority> = {
+  critical: "production",
+  urgent: "high",
+  normal: "normal",
+  idle: "low",
+};
+
+const checkJob = new Ajv({ strict: false }).compile<WireJob>(submissionSchema);
+
+/** The submission, or one line that says what is wrong with it. */
+export const parseSubmission = (body: string): { wire: WireJob; spec: JobSpec } | string => {
+  let value: unknown;
+  try {
+    value = JSON.parse(body);
+  } catch {
+    return "not JSON";
+  }
+  if (typeof value !== "object" || value === null || Array.isArray(value)) return "not an object";
+  if (!checkJob(value)) {
+    const first = checkJob.errors![0]!;
+    return `${first.instancePath.slice(1) || "the body"} ${first.message ?? "is not valid"}`;
+  }
+  // only what we know is kept
+  const wire = Object.fromEntries(
+    Object.keys(submissionSchema.properties)
+      .filter((name) => (value as unknown as Record<string, unknown>)[name] != null)
+      .map((name) => [name, (value as unknown as Record<string, unknown>)[name]]),
+  ) as unknown as WireJob;
+  return { wire, spec: specOf(wire) };
+};
+
+/** The job record in the state service is the submission as it was accepted. */
+export const specOf = (w: WireJob): JobSpec => ({
+  id: w.ref,
+  className: w.roster,
+  team: w.crew,
+  kind: KINDS[w.shape],
+  priority: PRIORITIES[w.urgency],
+  tasks: w.chores,
+  cpus: w.vcpus,
+  gpus: w.gpus ?? 0,
+  memoryGb: w.mem_gb,
+  image: w.bundle,
+  imageGb: w.image_gb,
+  types: w.builds ?? null,
+  zone: w.district ?? null,
+  oneZone: w.together ?? false,
+  spread: w.apart ?? false,
+  spot: w.loaners ?? false,
+  estimate: Duration.seconds(w.expected_s ?? 0),
+  checkpoint: Duration.seconds(w.bookmark_s ?? 0),
+  save: Duration.seconds(w.stash_s ?? 0),
+  deadline: w.due_s == null ? null : Duration.seconds(w.due_s),
+});
+
+export type UserState = "queued" | "running" | "done" | "cancelled";
+const USER_STATES: Record<UserState, string> = {
+  queued: "queued",
+  running: "running",
+  done: "done",
+  cancelled: "aborted",
+};
+export const jobAnswer = (id: string, state: UserState): string =>
+  JSON.stringify({ ref: id, status: USER_STATES[state] });
+export const pollAnswer = (id: string, state: UserState, done: number, running: number): string =>
+  JSON.stringify({ ref: id, status: USER_STATES[state], done, running });
+
+export const paths = { runs: "/v2/runs", cancel: "cancel", up: "/up", beat: "/agent/beat" } as const;
+
+// --- workers --------------------------------------------------------------------------------------------
+
+interface WireReport {
+  hearth: string;
+  endpoint: string;
+  build: string;
+  district: string;
+  loaners?: boolean | null;
+  shift: number;
+  tally: number;
+  baton: number;
+  recall_s?: number | null;
+  chores?: { chore: string; try: number; status: string; cause?: string | null }[] | null;
+}
+
+const TASK_STATES: Record<string, TaskState> = {
+  fetching: "fetching",
+  gathering: "waiting",
+  running: "running",
+  flushing: "saving",
+  ended: "exited",
+};
+const WHYS: Record<string, Why> = {
+  done: "done",
+  stopped: "stopped",
+  peers: "peers",
+  alone: "alone",
+  error: "error",
+  full: "no_room",
+  in_use: "busy",
+  no_such: "unknown",
+};
+
+export const parseReport = (value: unknown): WorkerReport | null => {
+  const r = value as WireReport | null | undefined;
+  if (typeof r !== "object" || r === null) return null;
+  if (typeof r.hearth !== "string" || typeof r.endpoint !== "string") return null;
+  if (typeof r.build !== "string" || typeof r.district !== "string") return null;
+  if (!Number.isSafeInteger(r.shift) || !Number.isSafeInteger(r.tally)) return null;
+  if (!Number.isSafeInteger(r.baton ?? 0) || (r.chores != null && !Array.isArray(r.chores))) return null;
+  const tasks: TaskReport[] = [];
+  for (const t of r.chores ?? []) {
+    const slash = t.chore.lastIndexOf("/");
+    const state = TASK_STATES[t.status];
+    if (slash < 0 || state === undefined) return null;
+    tasks.push({
+      job: t.chore.slice(0, slash),
+      index: Number(t.chore.slice(slash + 1)),
+      attempt: t.try,
+      state,
+      why: t.cause == null ? null : (WHYS[t.cause] ?? "error"),
+    });
+  }
+  return {
+    machine: r.hearth,
+    addr: r.endpoint,
+    type: r.build,
+    zone: r.district,
+    spot: r.loaners ?? false,
+    session: r.shift,
+    seq: r.tally,
+    token: r.baton ?? 0,
+    noticeS: r.recall_s ?? null,
+    tasks,
+  };
+};
+
+const OPS = { start: "start", stop: "halt", forget: "reap" } as const;
+const wireOrder = (o: Order) => ({
+  verb: OPS[o.op],
+  chore: taskName(o.job, o.index),
+  try: o.attempt,
+  ...(o.op === "stop" ? { leeway_s: o.graceS } : {}),
+});
+
+export const beatAnswer = (token: number): string => JSON.stringify({ baton: token, orders: [] });
+export const elsewhereAnswer = (member: string | null): string =>
+  JSON.stringify(member === null ? {} : { foreman: member });
+export const ordersPath = "/orders";
+export const ordersBody = (token: number, session: number, orders: readonly Order[]): string =>
+  JSON.stringify({ baton: token, shift: session, orders: orders.map(wireOrder) });
+
+// --- cloud ----------------------------------------------------------------------------------------------
+
+interface WireType {
+  label: string;
+  vcpus: number;
+  gpus?: number | null;
+  mem_gb: number;
+  cache_gb?: number | null;
+  pull_gb_per_s?: number | null;
+  rate: number;
+  spot_price?: number | null;
+  startup_s?: number | null;
+  districts: string[];
+}
+
+export const typesPath = "/flavors";
+export const wireTypes = (body: unknown): WireType[] | null => {
+  const builds = (body as { builds?: unknown } | undefined)?.builds;
+  if (!Array.isArray(builds)) return null;
+  const rows = builds as WireType[];
+  return rows.every((t) => typeof t.label === "string" && t.vcpus > 0 && Array.isArray(t.districts)) ? rows : null;
+};
+export const typesOf = (rows: readonly WireType[]): MachineType[] =>
+  rows.map((t) => ({
+    name: t.label,
+    cpus: t.vcpus,
+    gpus: t.gpus ?? 0,
+    memoryGb: t.mem_gb,
+    cacheGb: t.cache_gb ?? 0,
+    fetchGbPerS: t.pull_gb_per_s ?? 1,
+    price: t.rate,
+    spotPrice: t.spot_price ?? t.rate,
+    boot: Duration.seconds(t.startup_s ?? 60),
+    zones: t.districts,
+  }));
+
+export const rentPath = "/rentals";
+export const rentBody = (name: string, type: string, zone: string, spot: boolean, count: number): string =>
+  JSON.stringify({ rental: name, build: type, district: zone, loaners: spot, how_many: count });
+export const rentedMachines = (body: unknown): string[] =>
+  (body as { hearths?: string[] } | undefined)?.hearths ?? [];
+export const releasePath = "/rentals/release";
+export const releaseBody = (machines: readonly string[]): string => JSON.stringify({ hearths: machines });
+export const listPath = (from: string | null): string =>
+  `/rentals?most=500${from === null ? "" : `&from=${from}`}`;
+
+export interface ListedMachine {
+  readonly id: string;
+  readonly record: { type: string; zone: string; spot: boolean; addr: string | null };
+  readonly failed: boolean;
+  readonly ageMs: number;
+}
+export const listedMachines = (body: unknown): { rows: ListedMachine[]; more: boolean } | null => {
+  const b = body as
+    | {
+        hearths?: {
+          ref: string;
+          endpoint?: string | null;
+          build: string;
+          district: string;
+          loaners?: boolean;
+          status: string;
+          held_s?: number;
+        }[];
+        more?: boolean;
+      }
+    | undefined;
+  if (!Array.isArray(b?.hearths)) return null;
+  return {
+    rows: b.hearths.map((m) => ({
+      id: m.ref,
+      record: { type: m.build, zone: m.district, spot: m.loaners ?? false, addr: m.endpoint ?? null },
+      failed: m.status === "failed",
+      ageMs: (m.held_s ?? 0) * 1000,
+    })),
+    more: b.more ?? false,
+  };
+};
+
+// --- state service --------------------------------------------------------------------------------------
+
+export interface Row {
+  readonly key: string;
+  readonly value: unknown;
+  readonly stamp: number;
+}
+export interface Condition {
+  readonly key: string;
+  readonly stamp: number;
+}
+export type Change = { readonly put: string; readonly value: unknown; readonly permit?: number } | { readonly delete: string };
+export interface WatchEvent {
+  readonly key: string;
+  readonly stamp: number;
+  /** undefined: deleted. */
+  readonly value?: unknown;
+}
+
+interface WireRow {
+  path: string;
+  value: unknown;
+  stamp: number;
+}
+const row = (r: WireRow): Row => ({ key: r.path, value: r.value, stamp: r.stamp });
+
+export const state = {
+  get: (key: string) => `/store/${key}`,
+  list: (prefix: string, from: string | null) =>
+    `/store?under=${prefix}&most=1000${from === null ? "" : `&from=${from}`}`,
+  commit: "/commit",
+  grants: "/grants",
+  extend: (permit: number) => `/grants/${permit}/extend`,
+  grant: (permit: number) => `/grants/${permit}`,
+  watch: (prefix: string, from: number, waitMs: number) =>
+    `/watch?under=${prefix}&from=${from}&wait_ms=${waitMs}`,
+  grantBody: (ttl: Duration.Duration) => JSON.stringify({ ttl_ms: Math.round(Duration.toMillis(ttl)) }),
+  permitOf: (body: unknown) => (body as { permit: number }).permit,
+  commitBody: (when: readonly Condition[], apply: readonly Change[]) =>
+    JSON.stringify({
+      when: when.map((c) => ({ path: c.key, stamp: c.stamp })),
+      ...(apply.length === 0
+        ? {}
+        : {
+            apply: apply.map((c) =>
+              "put" in c
+                ? { write: c.put, value: c.value, ...(c.permit === undefined ? {} : { permit: c.permit }) }
+                : { delete: c.delete },
+            ),
+          }),
+    }),
+  row: (body: unknown) => row(body as WireRow),
+  rows: (body: unknown) => {
+    const b = body as { rows: WireRow[]; more: boolean; ledger: number };
+    return { rows: b.rows.map(row), more: b.more, revision: b.ledger };
+  },
+  revision: (body: unknown) => (body as { ledger: number }).ledger,
+  failed: (body: unknown) => (body as { failed?: string[] } | undefined)?.failed ?? [],
+  events: (body: unknown) => {
+    const b = body as {
+      ledger: number;
+      news?: ({ write: string; value: unknown; stamp: number } | { delete: string; stamp: number })[];
+    };
+    return {
+      revision: b.ledger,
+      events: (b.news ?? []).map(
+        (e): WatchEvent =>
+          "write" in e ? { key: e.write, value: e.value, stamp: e.stamp } : { key: e.delete, stamp: e.stamp },
+      ),
+    };
+  },
+};
+export type { WireType };
--- /dev/null
+++ b/src/io/schemas.ts
@@ -0,0 +1,123 @@
+/** JSON schemas of the two settings files and of a submission, checked by ajv. */
+
+const text = { type: "string", minLength: 1 } as const;
+const positive = { type: "number", exclusiveMinimum: 0 } as const;
+const amount = { type: "number", minimum: 0 } as const;
+const address = { type: "string", pattern: "^[0-9.]+:[0-9]{1,5}$" } as const;
+
+const object = <P extends Record<string, unknown>>(properties: P, optional: readonly string[] = []) => ({
+  type: "object",
+  required: Object.keys(properties).filter((name) => !optional.includes(name)),
+  properties,
+});
+
+/** The file that the platform hands over. Fields it doesn't name are ignored. */
+export const platformSchema = object({
+  member: text,
+  domain: text,
+  front: address,
+  peer_bind: address,
+  seeds: { type: "array", items: object({ member: text, domain: text, addr: address }) },
+  external: object({ cloud: address, state: address }),
+  params: object(
+    {
+      zones: { type: "array", items: text },
+      teams: {
+        type: "array",
+        items: object({ name: text, cpus: amount, cpus_max: amount, gpus: amount, gpus_max: amount }),
+      },
+      objectives: { type: "array", items: { type: "object" } },
+      workers: object({ report_s: positive, lease_s: positive, cancel_s: positive }),
+      state: object({
+        rps: positive,
+        write_rps: positive,
+        value_kb: positive,
+        txn_ops: { type: "integer", minimum: 4 },
+      }),
+      cloud: object({ rps: positive, list_lag_s: amount }),
+      machine_limits: object(
+        { core_share: positive, ram_mb: positive, max_connections: { type: "integer", minimum: 16 } },
+        ["core_share", "ram_mb"],
+      ),
+    },
+    ["objectives"],
+  ),
+});
+
+/** Operators' own settings: every field has a default. */
+export const operatorSchema = {
+  $schema: "http://json-schema.org/draft-07/schema#",
+  title: "indigowick operators' settings",
+  type: "object",
+  additionalProperties: false,
+  properties: {
+    member_lease_s: {
+      type: "number",
+      minimum: 1,
+      maximum: 15,
+      default: 3,
+      description: "Life of a member's lease in the state service: how soon a dead leader is replaced.",
+    },
+    reuse: {
+      type: "number",
+      minimum: 0,
+      maximum: 5,
+      default: 0.5,
+      description: "Share of the room of running short tasks that queued array tasks may wait for.",
+    },
+    idle_s: {
+      type: "number",
+      minimum: 0,
+      maximum: 3600,
+      default: 30,
+      description: "How long a machine stands idle before it is returned.",
+    },
+    warm_s: {
+      type: "number",
+      minimum: 0,
+      maximum: 600,
+      default: 10,
+      description: "Seconds of arriving work for which room is kept free.",
+    },
+  },
+} as const;
+
+const nullable = (schema: Record<string, unknown>) => ({ ...schema, nullable: true });
+
+/** POST /v2/runs. Null and omitted are the same; fields it doesn't name are ignored. */
+export const submissionSchema = object(
+  {
+    ref: { type: "string", pattern: "^req-[0-9]{1,18}$" },
+    roster: text,
+    crew: text,
+    shape: { type: "string", enum: ["array", "ensemble", "daemon"] },
+    urgency: { type: "string", enum: ["critical", "urgent", "normal", "idle"] },
+    chores: { type: "integer", minimum: 1, maximum: 100_000 },
+    vcpus: positive,
+    gpus: nullable(amount),
+    mem_gb: positive,
+    bundle: text,
+    image_gb: amount,
+    builds: nullable({ type: "array", items: text }),
+    district: nullable(text),
+    together: nullable({ type: "boolean" }),
+    apart: nullable({ type: "boolean" }),
+    loaners: nullable({ type: "boolean" }),
+    expected_s: nullable(amount),
+    bookmark_s: nullable(amount),
+    stash_s: nullable(amount),
+    due_s: nullable(amount),
+  },
+  [
+    "gpus",
+    "builds",
+    "district",
+    "together",
+    "apart",
+    "loaners",
+    "expected_s",
+    "bookmark_s",
+    "stash_s",
+    "due_s",
+  ],
+);
--- /dev/null
+++ b/src/io/server.ts
@@ -0,0 +1,34 @@
+/** What the front and the peers' server share. */
+import type http from "node:http";
+import * as Effect from "effect/Effect";
+
+/** The whole body, or null when it is larger than `most`. A connection that breaks calls nothing. */
+export const readBody = (
+  request: http.IncomingMessage,
+  most: number,
+  then: (body: Buffer | null) => void,
+): void => {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  request.on("data", (chunk: Buffer) => {
+    size += chunk.length;
+    if (size <= most) chunks.push(chunk);
+    else chunks.length = 0;
+  });
+  request.on("end", () => then(size > most ? null : Buffer.concat(chunks)));
+  request.on("error", () => undefined);
+};
+
+export const listen = (server: http.Server, bind: string, connections: number): Effect.Effect<void, Error> =>
+  Effect.async<void, Error>((resume) => {
+    const colon = bind.lastIndexOf(":");
+    server.keepAliveTimeout = 75_000;
+    server.headersTimeout = 80_000;
+    server.requestTimeout = 20_000;
+    server.maxConnections = connections;
+    server.on("clientError", (_error, socket) => socket.destroy());
+    server.once("error", (error) => resume(Effect.fail(error)));
+    server.listen({ host: bind.slice(0, colon), port: Number(bind.slice(colon + 1)), backlog: 511 }, () =>
+      resume(Effect.void),
+    );
+  });
--- /dev/null
+++ b/src/io/settings.ts
@@ -0,0 +1,119 @@
+/** Reads and checks the platform's settings file and the operators' own. */
+import { readFileSync } from "node:fs";
+import { Ajv, type ValidateFunction } from "ajv";
+import * as Duration from "effect/Duration";
+import type { Team } from "../core/records.js";
+import { operatorSchema, platformSchema } from "./schemas.js";
+
+export interface Settings {
+  readonly member: string;
+  readonly zone: string;
+  readonly front: string;
+  readonly peerBind: string;
+  readonly peers: readonly { readonly member: string; readonly zone: string; readonly addr: string }[];
+  readonly cloud: string;
+  readonly state: string;
+  readonly teams: readonly Team[];
+  readonly workers: { readonly reportS: number; readonly leaseS: number; readonly cancelS: number };
+  readonly stateLimits: { readonly rps: number; readonly writeRps: number; readonly valueKb: number; readonly txnOps: number };
+  readonly cloudLimits: { readonly rps: number; readonly listLag: Duration.Duration };
+  readonly maxConnections: number;
+  readonly operator: OperatorSettings;
+}
+
+export interface OperatorSettings {
+  readonly memberLease: Duration.Duration;
+  readonly reuse: number;
+  readonly idleFor: Duration.Duration;
+  readonly warmFor: Duration.Duration;
+}
+
+interface PlatformFile {
+  member: string;
+  domain: string;
+  front: string;
+  peer_bind: string;
+  seeds: { member: string; domain: string; addr: string }[];
+  external: { cloud: string; state: string };
+  params: {
+    teams: { name: string; cpus: number; cpus_max: number; gpus: number; gpus_max: number }[];
+    workers: { report_s: number; lease_s: number; cancel_s: number };
+    state: { rps: number; write_rps: number; value_kb: number; txn_ops: number };
+    cloud: { rps: number; list_lag_s: number };
+    machine_limits: { max_connections: number };
+  };
+}
+
+type OperatorFile = Record<keyof (typeof operatorSchema)["properties"], number>;
+
+/** One clear line for whoever started the program with a bad file. */
+export class BadSettings extends Error {}
+
+const read = <T>(path: string, check: ValidateFunction<T>): T => {
+  let text: string;
+  try {
+    text = readFileSync(path, "utf8");
+  } catch (error) {
+    throw new BadSettings(`${path}: can't be read: ${(error as Error).message}`);
+  }
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (error) {
+    throw new BadSettings(`${path}: not JSON: ${(error as Error).message}`);
+  }
+  if (check(value)) return value;
+  const first = check.errors![0]!;
+  const named = first.params as { additionalProperty?: string };
+  const field = first.instancePath.slice(1).replaceAll("/", ".") || "the file";
+  throw new BadSettings(
+    `${path}: ${field} ${first.message ?? "is not valid"}${named.additionalProperty === undefined ? "" : `: ${named.additionalProperty}`}`,
+  );
+};
+
+export const loadSettings = (platformPath: string, operatorPath: string | undefined): Settings => {
+  const ajv = new Ajv({ useDefaults: true, strict: false });
+  const file = read(platformPath, ajv.compile<PlatformFile>(platformSchema));
+  const checkOperator = ajv.compile<OperatorFile>(operatorSchema);
+  const defaults = {} as OperatorFile;
+  checkOperator(defaults);
+  const own = operatorPath === undefined ? defaults : read(operatorPath, checkOperator);
+  const { params } = file;
+  if (params.workers.cancel_s <= params.workers.lease_s)
+    throw new BadSettings(`${platformPath}: params.workers.cancel_s must be longer than lease_s`);
+  return {
+    member: file.member,
+    zone: file.domain,
+    front: file.front,
+    peerBind: file.peer_bind,
+    peers: file.seeds.map((s) => ({ member: s.member, zone: s.domain, addr: s.addr })),
+    cloud: file.external.cloud,
+    state: file.external.state,
+    teams: params.teams.map((t) => ({
+      name: t.name,
+      cpus: t.cpus,
+      cpusMax: t.cpus_max,
+      gpus: t.gpus,
+      gpusMax: t.gpus_max,
+    })),
+    workers: {
+      reportS: params.workers.report_s,
+      leaseS: params.workers.lease_s,
+      cancelS: params.workers.cancel_s,
+    },
+    stateLimits: {
+      rps: params.state.rps,
+      writeRps: params.state.write_rps,
+      valueKb: params.state.value_kb,
+      txnOps: params.state.txn_ops,
+    },
+    cloudLimits: { rps: params.cloud.rps, listLag: Duration.seconds(params.cloud.list_lag_s) },
+    maxConnections: params.machine_limits.max_connections,
+    operator: {
+      memberLease: Duration.seconds(own.member_lease_s),
+      reuse: own.reuse,
+      idleFor: Duration.seconds(own.idle_s),
+      warmFor: Duration.seconds(own.warm_s),
+    },
+  };
+};
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,71 @@
+#!/usr/bin/env node
+import { readFileSync } from "node:fs";
+import { Command, CommanderError } from "commander";
+import * as Effect from "effect/Effect";
+import * as Exit from "effect/Exit";
+import * as Cause from "effect/Cause";
+import { makeLog } from "./io/log.js";
+import { operatorSchema } from "./io/schemas.js";
+import { BadSettings, loadSettings } from "./io/settings.js";
+import { runNode } from "./service/node.js";
+
+const EXIT_BAD_SETTINGS = 2;
+const EXIT_FAILED = 1;
+
+const version = (): string => {
+  const file = readFileSync(new URL("../package.json", import.meta.url), "utf8");
+  return (JSON.parse(file) as { version: string }).version;
+};
+
+const load = (options: { config: string; settings?: string }) => {
+  try {
+    return loadSettings(options.config, options.settings);
+  } catch (error) {
+    if (!(error instanceof BadSettings)) throw error;
+    process.stderr.write(`indigowick: ${error.message}\n`);
+    process.exit(EXIT_BAD_SETTINGS);
+  }
+};
+
+const program = new Command("indigowick")
+  .description("A cluster scheduler: one controller of a cluster.")
+  .version(version())
+  .showHelpAfterError("(--help says more)");
+
+program
+  .command("run", { isDefault: true })
+  .description("runs one controller until it is killed")
+  .requiredOption("--config <file>", "the platform's settings (JSON)")
+  .option("--settings <file>", "operators' own settings (JSON, see `indigowick schema`)")
+  .action(async (options: { config: string; settings?: string }) => {
+    const settings = load(options);
+    const log = makeLog(process.env["LOG_LEVEL"] ?? "info", settings.member);
+    const exit = await Effect.runPromiseExit(runNode(settings, log));
+    if (Exit.isFailure(exit)) log.error({ why: Cause.pretty(exit.cause) }, "can't run");
+    process.exit(EXIT_FAILED);
+  });
+
+program
+  .command("check")
+  .description("checks the settings files and ends")
+  .requiredOption("--config <file>", "the platform's settings (JSON)")
+  .option("--settings <file>", "operators' own settings (JSON)")
+  .action((options: { config: string; settings?: string }) => {
+    const settings = load(options);
+    process.stdout.write(`ok: ${settings.member} in ${settings.zone}, ${settings.peers.length} peers\n`);
+  });
+
+program
+  .command("schema")
+  .description("prints the JSON schema of the operators' own settings")
+  .action(() => {
+    process.stdout.write(`${JSON.stringify(operatorSchema, null, 2)}\n`);
+  });
+
+for (const command of [program, ...program.commands]) command.exitOverride();
+try {
+  await program.parseAsync();
+} catch (error) {
+  if (!(error instanceof CommanderError)) throw error;
+  process.exitCode = error.exitCode === 0 ? 0 : EXIT_BAD_SETTINGS;
+}
--- /dev/null
+++ b/src/service/membership.ts
@@ -0,0 +1,229 @@
+/** This node's lease, its member key, the term, and the race for the leader's key. */
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+import { entitled, sameMembers, type Spans } from "../core/term.js";
+import type { Instant } from "../core/time.js";
+import { keys, type LeaderRecord, type MemberRecord, type TermMember, type TermRecord } from "../core/records.js";
+import { now } from "../io/clock.js";
+import type { Row } from "../io/codec.js";
+import type { Log } from "../io/log.js";
+import type { StateClient } from "../io/state-client.js";
+import { Signal } from "./signal.js";
+
+export interface Leadership {
+  readonly stamp: number;
+  readonly permit: number;
+}
+
+export class Membership {
+  permit: number | null = null;
+  /** The stamp of this process's member record. */
+  incarnation = 0;
+  /** When the last renewal that showed `term` current was sent. */
+  private confirmed: Instant | null = null;
+  term: TermRecord | null = null;
+  termStamp = 0;
+  leadership: Leadership | null = null;
+  private rows = new Map<string, Row>();
+  private synced = false;
+  private readonly renewNow = new Signal();
+  readonly changed = new Signal();
+  onTerm: (term: TermRecord) => void = () => undefined;
+  onLost: () => void = () => undefined;
+
+  constructor(
+    private readonly me: string,
+    private readonly zone: string,
+    private readonly spans: Spans,
+    private readonly state: StateClient,
+    private readonly log: Log,
+  ) {}
+
+  /** May this node answer workers and deliver orders right now? */
+  entitled(): boolean {
+    return entitled(this.spans, this.confirmed, now()) && this.inTerm();
+  }
+
+  private inTerm(): boolean {
+    return this.term?.members.some((m) => m.name === this.me && m.incarnation === this.incarnation) ?? false;
+  }
+
+  leads(): boolean {
+    return this.leadership !== null && this.term?.leader === this.me && this.entitled();
+  }
+
+  /** A message named a higher token than the one known here. */
+  heardOf(token: number): void {
+    if (token > (this.term?.token ?? 0)) this.renewNow.poke();
+  }
+
+  private setTerm(row: Row | null): void {
+    if (row === null || row.stamp <= this.termStamp) return;
+    this.termStamp = row.stamp;
+    this.term = row.value as TermRecord;
+    // the fence window counts from a renewal that showed *this* term
+    this.confirmed = null;
+    this.log.info({ term: this.term.token, leader: this.term.leader, members: this.term.members.map((m) => m.name) }, "term");
+    this.onTerm(this.term);
+    this.renewNow.poke();
+  }
+
+  private lose(why: string): void {
+    if (this.leadership === null) return;
+    this.leadership = null;
+    this.log.info({ why }, "no longer leading");
+    this.onLost();
+  }
+
+  /** Ends the lease of this member's previous process, which is dead: nobody has to wait for it. */
+  private readonly clearOld = Effect.gen(this, function* () {
+    const row = yield* this.state.get(keys.member(this.me));
+    if (row !== null) yield* this.state.revoke((row.value as MemberRecord).permit);
+  });
+
+  private readonly join = Effect.gen(this, function* () {
+    yield* this.clearOld;
+    const permit = yield* this.state.grant(this.spans.ttl);
+    const record: MemberRecord = { zone: this.zone, permit };
+    const done = yield* this.state.commit([], [{ put: keys.member(this.me), value: record, permit }]);
+    if (done.ok !== true) return;
+    this.permit = permit;
+    this.incarnation = done.revision;
+    this.log.info({ incarnation: this.incarnation }, "joined");
+    this.changed.poke();
+  });
+
+  private readonly renew = Effect.gen(this, function* () {
+    const permit = this.permit;
+    if (permit === null) return yield* this.join;
+    const sentAt = now();
+    const timeout = Duration.millis(Math.max(500, Duration.toMillis(this.spans.fence) / 2));
+    const [alive, row] = yield* Effect.all([this.state.extend(permit, timeout), this.state.get(keys.term)], {
+      concurrency: 2,
+    });
+    if (!alive) {
+      this.permit = null;
+      this.confirmed = null;
+      this.lose("lease ended");
+      return yield* this.join;
+    }
+    this.setTerm(row);
+    if (row !== null && row.stamp === this.termStamp) this.confirmed = sentAt;
+  });
+
+  private readonly renewLoop = Effect.gen(this, function* () {
+    const began = now();
+    yield* this.renew.pipe(Effect.catchAll((e) => Effect.sync(() => this.log.debug({ why: e.why }, "renewal failed"))));
+    const left = Duration.toMillis(this.spans.renewEvery) - (now() - began);
+    // never in a tight loop, also when poked
+    yield* Effect.sleep(Duration.millis(50));
+    if (left > 50) yield* this.renewNow.wait(Duration.millis(left - 50));
+  }).pipe(Effect.forever);
+
+  private readonly watchLoop = Effect.gen(this, function* () {
+    const list = yield* this.state.list(keys.cluster);
+    this.rows = new Map(list.rows.map((r) => [r.key, r]));
+    this.synced = true;
+    this.react();
+    let revision = list.revision;
+    for (;;) {
+      const got = yield* this.state.watch(keys.cluster, revision, Duration.seconds(10));
+      for (const e of got.events)
+        if (e.value === undefined) this.rows.delete(e.key);
+        else this.rows.set(e.key, { key: e.key, value: e.value, stamp: e.stamp });
+      revision = got.revision;
+      if (got.events.length > 0) this.react();
+      yield* Effect.sleep(Duration.millis(20));
+    }
+  }).pipe(
+    Effect.catchAll(() => Effect.sync(() => (this.synced = false))),
+    Effect.zipRight(Effect.sleep(Duration.millis(300))),
+    Effect.forever,
+  );
+
+  private react(): void {
+    this.setTerm(this.rows.get(keys.term) ?? null);
+    const leader = this.rows.get(keys.leader);
+    if (this.leadership !== null && leader?.stamp !== this.leadership.stamp) this.lose("the leader's key is gone");
+    this.changed.poke();
+  }
+
+  /** The members that hold keys now. */
+  present(): TermMember[] {
+    const out: TermMember[] = [];
+    for (const row of this.rows.values())
+      if (row.key.startsWith(keys.members))
+        out.push({
+          name: row.key.slice(keys.members.length),
+          incarnation: row.stamp,
+          zone: (row.value as MemberRecord).zone,
+        });
+    return out.sort((a, b) => (a.name < b.name ? -1 : 1));
+  }
+
+  /** Whether the term names other members than those that are there. */
+  outdated(): boolean {
+    const present = this.present();
+    return this.term === null || (present.length > 0 && !sameMembers(this.term.members, present));
+  }
+
+  /** Tries to become the leader when there is none. */
+  readonly tryLead = Effect.gen(this, function* () {
+    const permit = this.permit;
+    if (permit === null || this.leadership !== null || !this.synced || this.rows.has(keys.leader)) return false;
+    const record: LeaderRecord = { member: this.me, permit };
+    const result = yield* this.state.commit(
+      [{ key: keys.leader, stamp: 0 }],
+      [{ put: keys.leader, value: record, permit }],
+    ).pipe(
+      Effect.map((r) => (r.ok === true ? r.revision : null)),
+      // the answer was lost: reread
+      Effect.catchTag("Unanswered", () =>
+        Effect.map(this.state.get(keys.leader), (row) =>
+          row !== null && (row.value as LeaderRecord).permit === permit ? row.stamp : null,
+        ),
+      ),
+    );
+    if (result === null || this.permit !== permit) return false;
+    this.leadership = { stamp: result, permit };
+    this.rows.set(keys.leader, { key: keys.leader, value: record, stamp: result });
+    this.log.info({ stamp: result }, "holds the leader's key");
+    return true;
+  });
+
+  /** Writes the next term; every leader write has a condition on the leader's key. */
+  readonly writeTerm = Effect.gen(this, function* () {
+    const leadership = this.leadership;
+    if (leadership === null) return false;
+    const [row, list] = yield* Effect.all([this.state.get(keys.term), this.state.list(keys.members)], { concurrency: 2 });
+    const old = row === null ? null : (row.value as TermRecord);
+    const members: TermMember[] = list.rows.map((r) => ({
+      name: r.key.slice(keys.members.length),
+      incarnation: r.stamp,
+      zone: (r.value as MemberRecord).zone,
+    }));
+    if (!members.some((m) => m.name === this.me && m.incarnation === this.incarnation)) return false;
+    const term: TermRecord = { token: (old?.token ?? 0) + 1, leader: this.me, members };
+    const result = yield* this.state.commit(
+      [
+        { key: keys.leader, stamp: leadership.stamp },
+        { key: keys.term, stamp: row?.stamp ?? 0 },
+      ],
+      [{ put: keys.term, value: term }],
+    );
+    if (result.ok === true) {
+      this.setTerm({ key: keys.term, value: term, stamp: result.revision });
+      return true;
+    }
+    if (result.ok === false && result.failed.includes(keys.leader)) this.lose("another leader");
+    return false;
+  });
+
+  /** Waits until a renewal has shown the present term current. */
+  readonly confirmTerm: Effect.Effect<boolean> = Effect.gen(this, function* () {
+    for (let i = 0; i < 40 && !this.entitled(); i++) yield* Effect.sleep(Duration.millis(25));
+    return this.entitled();
+  });
+
+  readonly run = Effect.all([this.renewLoop, this.watchLoop], { concurrency: 2, discard: true });
+}
--- /dev/null
+++ b/src/service/mirror.ts
@@ -0,0 +1,79 @@
+/** The unfinished jobs and the machine types, as the state service has them, a moment behind. */
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+import { type JobSpec, keys, type MachineType } from "../core/records.js";
+import { specOf, typesOf, type WireJob, type WireType } from "../io/codec.js";
+import type { Log } from "../io/log.js";
+import type { StateClient } from "../io/state-client.js";
+
+export interface MirroredJob {
+  readonly spec: JobSpec;
+  readonly stamp: number;
+}
+
+export class Mirror {
+  readonly jobs = new Map<string, MirroredJob>();
+  types: readonly MachineType[] = [];
+  ready = false;
+  onJob: (job: MirroredJob) => void = () => undefined;
+  onOver: (id: string) => void = () => undefined;
+  onTypes: (types: readonly MachineType[]) => void = () => undefined;
+
+  constructor(
+    private readonly state: StateClient,
+    private readonly log: Log,
+  ) {}
+
+  setTypes(rows: readonly WireType[]): void {
+    this.types = typesOf(rows);
+    this.onTypes(this.types);
+  }
+
+  put(key: string, value: unknown, stamp: number): void {
+    const id = key.slice(keys.jobs.length);
+    if (this.jobs.has(id)) return;
+    const job = { spec: specOf(value as WireJob), stamp };
+    this.jobs.set(id, job);
+    this.onJob(job);
+  }
+
+  remove(id: string): void {
+    if (this.jobs.delete(id)) this.onOver(id);
+  }
+
+  private readonly jobLoop = Effect.gen(this, function* () {
+    const list = yield* this.state.list(keys.jobs);
+    const present = new Set<string>();
+    for (const row of list.rows) {
+      present.add(row.key.slice(keys.jobs.length));
+      this.put(row.key, row.value, row.stamp);
+    }
+    for (const [id, job] of [...this.jobs]) if (!present.has(id) && job.stamp <= list.revision) this.remove(id);
+    this.ready = true;
+    let revision = list.revision;
+    for (;;) {
+      const got = yield* this.state.watch(keys.jobs, revision, Duration.seconds(10));
+      for (const e of got.events)
+        if (e.value === undefined) this.remove(e.key.slice(keys.jobs.length));
+        else this.put(e.key, e.value, e.stamp);
+      revision = got.revision;
+      // a little patience: one answer then holds several changes
+      yield* Effect.sleep(Duration.millis(60));
+    }
+  }).pipe(
+    Effect.catchAll((e) => Effect.sync(() => this.log.debug({ why: e._tag }, "job watch ended"))),
+    Effect.zipRight(Effect.sleep(Duration.millis(300))),
+    Effect.forever,
+  );
+
+  private readonly typeLoop = Effect.gen(this, function* () {
+    const row = yield* this.state.get(keys.types, "later");
+    if (row !== null) this.setTypes(row.value as WireType[]);
+    yield* Effect.sleep(Duration.seconds(this.types.length === 0 ? 0.3 : 30));
+  }).pipe(
+    Effect.catchAll(() => Effect.sleep(Duration.millis(500))),
+    Effect.forever,
+  );
+
+  readonly run = Effect.all([this.jobLoop, this.typeLoop], { concurrency: 2, discard: true });
+}
--- /dev/null
+++ b/src/service/node.ts
@@ -0,0 +1,90 @@
+/** One controller, wired together. */
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+import { spansOf } from "../core/term.js";
+import { CloudClient } from "../io/cloud-client.js";
+import type { Log } from "../io/log.js";
+import type { Settings } from "../io/settings.js";
+import { StateClient } from "../io/state-client.js";
+import { WorkerClient } from "../io/worker-client.js";
+import { Front } from "./front.js";
+import { Leader } from "./leader.js";
+import { Member } from "./member.js";
+import { Membership } from "./membership.js";
+import { Mirror } from "./mirror.js";
+import { Peers, servePeers } from "./peers.js";
+import { Status } from "./status.js";
+
+/** Runs until the process is killed; fails only when a socket can't be bound. */
+export const runNode = (settings: Settings, log: Log): Effect.Effect<void, Error> =>
+  Effect.gen(function* () {
+    const spans = spansOf(settings.workers, settings.operator.memberLease);
+    const teams = new Map(settings.teams.map((t) => [t.name, t]));
+    const nodes = settings.peers.length + 1;
+    const state = new StateClient(settings.state, settings.stateLimits, nodes);
+    const cloud = new CloudClient(settings.cloud, settings.cloudLimits.rps);
+    const peers = new Peers(settings.peers);
+    const mirror = new Mirror(state, log);
+    const membership = new Membership(settings.member, settings.zone, spans, state, log);
+    const member = new Member(
+      {
+        me: settings.member,
+        txnOps: settings.stateLimits.txnOps,
+        valueKb: settings.stateLimits.valueKb,
+        keepFor: Duration.sum(spans.machineGone, Duration.seconds(20)),
+      },
+      membership,
+      state,
+      new WorkerClient(),
+      peers,
+      log,
+    );
+    const leader = new Leader(
+      {
+        me: settings.member,
+        spans,
+        teams,
+        fleet: {
+          reuse: settings.operator.reuse,
+          idleFor: settings.operator.idleFor,
+          warmFor: settings.operator.warmFor,
+        },
+        txnOps: settings.stateLimits.txnOps,
+        listEvery: Duration.seconds(Math.max(2, Duration.toSeconds(settings.cloudLimits.listLag) / 2)),
+      },
+      membership,
+      member,
+      mirror,
+      state,
+      cloud,
+      peers,
+      log,
+    );
+    membership.onTerm = (term) => {
+      member.part.setTerm(term);
+      leader.termChanged(term);
+      member.termChanged();
+    };
+    const status = new Status(state, mirror, settings.stateLimits.txnOps * 4);
+    const front = new Front(
+      {
+        bind: settings.front,
+        connections: Math.floor(settings.maxConnections * 0.7),
+        teams,
+        valueKb: settings.stateLimits.valueKb,
+      },
+      state,
+      mirror,
+      status,
+      member,
+      leader,
+      log,
+    );
+    yield* servePeers(settings.peerBind, { sync: leader.sync, deliver: (d) => member.deliver(d) });
+    yield* front.serve();
+    log.info({ front: settings.front, peers: settings.peerBind }, "listening");
+    yield* Effect.all([membership.run, mirror.run, member.run, leader.run], {
+      concurrency: "unbounded",
+      discard: true,
+    });
+  });
--- /dev/null
+++ b/src/service/peers.ts
@@ -0,0 +1,81 @@
+/** Controllers talk to one another over Node's http, with Avro bodies. */
+import http from "node:http";
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+import { call, type CallFailed, makeAgent } from "../io/call.js";
+import {
+  type Codec,
+  type Deliver,
+  deliverCodec,
+  type Delivered,
+  deliveredCodec,
+  peerPaths,
+  type Sync,
+  type SyncAnswer,
+  syncAnswerCodec,
+  syncCodec,
+} from "../io/peer-codec.js";
+import { listen, readBody } from "../io/server.js";
+
+const TYPE = "avro/binary";
+const MAX_BODY = 4 * 1024 * 1024;
+
+export class Peers {
+  private readonly agent = makeAgent(32);
+  private readonly addrs: ReadonlyMap<string, string>;
+
+  constructor(peers: readonly { member: string; addr: string }[]) {
+    this.addrs = new Map(peers.map((p) => [p.member, p.addr]));
+  }
+
+  private ask<Q, A>(
+    member: string,
+    path: string,
+    request: Codec<Q>,
+    answer: Codec<A>,
+    value: Q,
+    timeout: Duration.Duration,
+  ): Effect.Effect<A | null, CallFailed> {
+    const addr = this.addrs.get(member);
+    if (addr === undefined) return Effect.succeed(null);
+    return Effect.suspend(() =>
+      call(this.agent, { addr, method: "POST", path, body: request.encode(value), type: TYPE, timeout }),
+    ).pipe(Effect.map((reply) => (reply.status === 200 ? answer.decode(reply.body) : null)));
+  }
+
+  sync(member: string, value: Sync): Effect.Effect<SyncAnswer | null, CallFailed> {
+    return this.ask(member, peerPaths.sync, syncCodec, syncAnswerCodec, value, Duration.seconds(1.5));
+  }
+
+  deliver(member: string, value: Deliver): Effect.Effect<Delivered | null, CallFailed> {
+    return this.ask(member, peerPaths.deliver, deliverCodec, deliveredCodec, value, Duration.seconds(3));
+  }
+}
+
+export interface PeerHandlers {
+  sync(value: Sync): SyncAnswer;
+  deliver(value: Deliver): Effect.Effect<Delivered>;
+}
+
+export const servePeers = (bind: string, handlers: PeerHandlers): Effect.Effect<void, Error> => {
+  const server = http.createServer((request, response) => {
+    readBody(request, MAX_BODY, (body) => {
+      if (body === null) return void response.writeHead(400).end();
+      const send = (buffer: Buffer): void => {
+        response.writeHead(200, { "content-type": TYPE, "content-length": buffer.length }).end(buffer);
+      };
+      try {
+        if (request.url === peerPaths.sync) send(syncAnswerCodec.encode(handlers.sync(syncCodec.decode(body))));
+        else if (request.url === peerPaths.deliver)
+          Effect.runFork(
+            Effect.map(handlers.deliver(deliverCodec.decode(body)), (d) => send(deliveredCodec.encode(d))),
+          );
+        else response.writeHead(404).end();
+      } catch {
+        // not our protocol, or a message cut short
+        response.writeHead(400).end();
+      }
+    });
+  });
+  return listen(server, bind, 256);
+};
