--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -76,7 +76,10 @@
       const type = byName.get(m.type);
       if (type === undefined) continue;
       const booting =
-        m.heard === null && m.releasing === null && !m.failed && !passed(now, m.created, Duration.times(type.boot, 2));
+        m.heard === null &&
+        m.releasing === null &&
+        !m.failed &&
+        !passed(now, m.created, Duration.times(type.boot, 2));
       if (!isUsable(m) && !booting) continue;
       const room = booting ? { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb } : freeRoom(m);
       const short: Room = { cpus: 0, gpus: 0, memoryGb: 0 };
@@ -178,7 +181,8 @@
   spare(cluster: Cluster, now: Instant, isUsable: (m: Machine) => boolean): Machine[] {
     const idle: Machine[] = [];
     for (const m of cluster.machines.values())
-      if (m.idleSince !== null && m.releasing === null && passed(now, m.idleSince, this.options.idleFor)) idle.push(m);
+      if (m.idleSince !== null && m.releasing === null && passed(now, m.idleSince, this.options.idleFor))
+        idle.push(m);
     if (idle.length === 0) return [];
     const rooms = [...cluster.machines.values()].filter(isUsable).map((m) => ({ m, room: freeRoom(m) }));
     const needed = new Set<string>();
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -9,9 +9,7 @@
 import { ownerOf } from "./term.js";
 
 export type BeatAnswer =
-  | { kind: "taken"; token: number }
-  | { kind: "elsewhere"; member: string | null }
-  | { kind: "unsure" };
+  { kind: "taken"; token: number } | { kind: "elsewhere"; member: string | null } | { kind: "unsure" };
 
 interface Finishes {
   readonly known: RangeSet;
@@ -58,7 +56,8 @@
   beat(r: WorkerReport, entitled: boolean, incarnation: number, now: Instant): BeatAnswer {
     const term = this.term;
     if (!entitled || term === null) return { kind: "unsure" };
-    if (!term.members.some((m) => m.name === this.member && m.incarnation === incarnation)) return { kind: "unsure" };
+    if (!term.members.some((m) => m.name === this.member && m.incarnation === incarnation))
+      return { kind: "unsure" };
     const owner = ownerOf(term, r.machine, r.zone);
     if (owner !== null && owner.name !== this.member && this.takenIn.get(r.machine) !== term.token) {
       const away = this.sentAway.get(r.machine);
@@ -78,7 +77,8 @@
   /** A report from a beat or from the answer to orders. */
   take(r: WorkerReport): void {
     const last = this.reports.get(r.machine);
-    if (last !== undefined && (r.session < last.session || (r.session === last.session && r.seq <= last.seq))) return;
+    if (last !== undefined && (r.session < last.session || (r.session === last.session && r.seq <= last.seq)))
+      return;
     this.reports.set(r.machine, r);
     const signature = `${r.session} ${r.token} ${r.noticeS !== null} ${r.addr} ${r.tasks
       .map((t) => `${t.job}/${t.index}#${t.attempt}${t.state}${t.why ?? ""}`)
--- a/src/core/ranges.ts
+++ b/src/core/ranges.ts
@@ -91,7 +91,7 @@
   const width = Math.max(1, Math.floor((bytes - 64) / perRange)) * 2;
   const out = new Map<number, Range[]>();
   for (const [from, to] of ranges)
-    for (let at = from; at < to; ) {
+    for (let at = from; at < to;) {
       const window = Math.floor(at / width);
       const end = Math.min(to, (window + 1) * width);
       const list = out.get(window);
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -253,11 +253,7 @@
   // --- reports ----------------------------------------------------------------------------------------
 
   report(r: WorkerReport, via: string, now: Instant): void {
-    const m = this.discovered(
-      r.machine,
-      { type: r.type, zone: r.zone, spot: r.spot, addr: r.addr },
-      now,
-    );
+    const m = this.discovered(r.machine, { type: r.type, zone: r.zone, spot: r.spot, addr: r.addr }, now);
     if (m === null) return;
     // the message with the larger (session, seq) is the newer one; older ones say nothing about now
     if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return;
@@ -277,7 +273,10 @@
       const key = holdKey(t.job, t.index, t.attempt);
       present.add(key);
       const hold = m.holds.get(key);
-      const doubt = hold?.doubt !== undefined && hold.doubt !== null && r.token > hold.doubt ? null : (hold?.doubt ?? null);
+      const doubt =
+        hold?.doubt !== undefined && hold.doubt !== null && r.token > hold.doubt
+          ? null
+          : (hold?.doubt ?? null);
       if (hold === undefined) {
         addHold(this.cluster, {
           job: t.job,
@@ -299,7 +298,8 @@
       if (before === t.state && doubt === hold.doubt) continue;
       const since = before === t.state ? hold.since : now;
       changeHold(this.cluster, hold, { state: t.state, why: t.why, since, doubt });
-      if (t.state === "running" || (t.state === "exited" && before !== "exited")) this.seenState(m, hold, now);
+      if (t.state === "running" || (t.state === "exited" && before !== "exited"))
+        this.seenState(m, hold, now);
     }
     for (const [key, hold] of [...m.holds]) {
       if (present.has(key)) continue;
@@ -440,7 +440,10 @@
           continue;
         }
         const twin =
-          job !== undefined && (job.holds.get(hold.index) ?? []).some((h) => h !== hold && occupies(h) && h.attempt < hold.attempt);
+          job !== undefined &&
+          (job.holds.get(hold.index) ?? []).some(
+            (h) => h !== hold && occupies(h) && h.attempt < hold.attempt,
+          );
         const over = job === undefined || job.done.has(hold.index) || twin;
         if (over && !(hold.stopping && !passed(now, hold.since, Duration.seconds(3)))) {
           hold.stopping = true;
@@ -496,7 +499,9 @@
 
   private place(now: Instant, orders: Map<string, Order[]>, out: Decision[]): void {
     const silent = this.silent();
-    const unknown = [...this.cluster.machines.values()].filter((m) => m.recorded && (!m.confirmed || hasStray(m)));
+    const unknown = [...this.cluster.machines.values()].filter(
+      (m) => m.recorded && (!m.confirmed || hasStray(m)),
+    );
     const candidates = [...this.cluster.machines.values()].filter(
       (m) => this.usable(m, now) && !m.inFlight && !hasStray(m),
     );
@@ -527,7 +532,14 @@
     }
   }
 
-  private start(job: Job, index: number, n: number, m: Machine, now: Instant, orders: Map<string, Order[]>): void {
+  private start(
+    job: Job,
+    index: number,
+    n: number,
+    m: Machine,
+    now: Instant,
+    orders: Map<string, Order[]>,
+  ): void {
     // unique for ever: a token belongs to one leader, which counts its starts
     const attempt = this.term.token * 1_000_000 + n;
     job.firstStart ??= now;
@@ -619,7 +631,9 @@
       const other = this.options.teams.get(spec.team);
       const usage = this.usageOf(spec.team);
       // only what the other team runs beyond its own guarantee
-      return other !== undefined && usage.cpus - spec.cpus >= other.cpus && usage.gpus - spec.gpus >= other.gpus;
+      return (
+        other !== undefined && usage.cpus - spec.cpus >= other.cpus && usage.gpus - spec.gpus >= other.gpus
+      );
     };
     const found = victims(this.cluster, job, candidates, now, mayStop);
     if (found === null) return;
@@ -698,7 +712,10 @@
     if (!doubt) this.doubtsSince = null;
     else {
       this.doubtsSince ??= now;
-      if (passed(now, this.doubtsSince, Duration.seconds(1)) && passed(now, this.termBegan, Duration.seconds(5))) {
+      if (
+        passed(now, this.doubtsSince, Duration.seconds(1)) &&
+        passed(now, this.termBegan, Duration.seconds(5))
+      ) {
         out.push({ kind: "newTerm", why: "unanswered starts" });
         this.doubtsSince = now;
       }
@@ -764,7 +781,8 @@
   /** A recorded rental's certain outcome; `machines` are recorded by now. */
   rentalAnswered(name: string, record: RentalRecord, machines: readonly string[], now: Instant): void {
     this.fleet.asked.delete(name);
-    if (machines.length < record.count) this.fleet.refused(offerKey(record.type, record.zone, record.spot), now);
+    if (machines.length < record.count)
+      this.fleet.refused(offerKey(record.type, record.zone, record.spot), now);
     this.rented(machines, { type: record.type, zone: record.zone, spot: record.spot, addr: null }, now);
   }
 }
--- a/src/io/call.ts
+++ b/src/io/call.ts
@@ -10,7 +10,10 @@
 }
 
 /** `sent`: the request may have reached the other side, and may be carried out, now or later. */
-export class CallFailed extends Data.TaggedError("CallFailed")<{ readonly sent: boolean; readonly why: string }> {}
+export class CallFailed extends Data.TaggedError("CallFailed")<{
+  readonly sent: boolean;
+  readonly why: string;
+}> {}
 
 export interface Call {
   readonly addr: string;
--- a/src/io/cloud-client.ts
+++ b/src/io/cloud-client.ts
@@ -19,7 +19,10 @@
   type WireType,
 } from "./codec.js";
 
-export class CloudFailed extends Data.TaggedError("CloudFailed")<{ readonly sent: boolean; readonly why: string }> {}
+export class CloudFailed extends Data.TaggedError("CloudFailed")<{
+  readonly sent: boolean;
+  readonly why: string;
+}> {}
 
 export class CloudClient {
   private readonly agent = makeAgent(6);
@@ -67,19 +70,28 @@
   }
 
   /** The machines rented; null: none to be had. Fails when it can't be told whether it was carried out. */
-  rent(name: string, type: string, zone: string, spot: boolean, count: number): Effect.Effect<string[] | null, CloudFailed> {
+  rent(
+    name: string,
+    type: string,
+    zone: string,
+    spot: boolean,
+    count: number,
+  ): Effect.Effect<string[] | null, CloudFailed> {
     return Effect.flatMap(this.send("POST", rentPath, rentBody(name, type, zone, spot, count)), (reply) => {
       const body = json(reply);
       if (reply.status === 200) return Effect.succeed(rentedMachines(body));
       const why = (body as { error?: string } | undefined)?.error ?? `status ${reply.status}`;
-      if (reply.status === 400 || (reply.status === 503 && why === "no capacity")) return Effect.succeed(null);
+      if (reply.status === 400 || (reply.status === 503 && why === "no capacity"))
+        return Effect.succeed(null);
       return Effect.fail(new CloudFailed({ sent: false, why }));
     });
   }
 
   release(machines: readonly string[]): Effect.Effect<void, CloudFailed> {
     return Effect.flatMap(this.send("POST", releasePath, releaseBody(machines)), (reply) =>
-      reply.status === 200 ? Effect.void : Effect.fail(new CloudFailed({ sent: false, why: `status ${reply.status}` })),
+      reply.status === 200
+        ? Effect.void
+        : Effect.fail(new CloudFailed({ sent: false, why: `status ${reply.status}` })),
     );
   }
 
--- a/src/io/codec.ts
+++ b/src/io/codec.ts
@@ -212,7 +212,9 @@
   const builds = (body as { builds?: unknown } | undefined)?.builds;
   if (!Array.isArray(builds)) return null;
   const rows = builds as WireType[];
-  return rows.every((t) => typeof t.label === "string" && t.vcpus > 0 && Array.isArray(t.districts)) ? rows : null;
+  return rows.every((t) => typeof t.label === "string" && t.vcpus > 0 && Array.isArray(t.districts))
+    ? rows
+    : null;
 };
 export const typesOf = (rows: readonly WireType[]): MachineType[] =>
   rows.map((t) => ({
@@ -282,7 +284,8 @@
   readonly key: string;
   readonly stamp: number;
 }
-export type Change = { readonly put: string; readonly value: unknown; readonly permit?: number } | { readonly delete: string };
+export type Change =
+  { readonly put: string; readonly value: unknown; readonly permit?: number } | { readonly delete: string };
 export interface WatchEvent {
   readonly key: string;
   readonly stamp: number;
@@ -336,9 +339,8 @@
     };
     return {
       revision: b.ledger,
-      events: (b.news ?? []).map(
-        (e): WatchEvent =>
-          "write" in e ? { key: e.write, value: e.value, stamp: e.stamp } : { key: e.delete, stamp: e.stamp },
+      events: (b.news ?? []).map((e): WatchEvent =>
+        "write" in e ? { key: e.write, value: e.value, stamp: e.stamp } : { key: e.delete, stamp: e.stamp },
       ),
     };
   },
--- a/src/io/peer-codec.ts
+++ b/src/io/peer-codec.ts
@@ -30,7 +30,13 @@
   noticeS: ["null", "double"],
   tasks: array(task),
 });
-const order = record("Order", { op: "string", job: "string", index: "int", attempt: "long", graceS: "double" });
+const order = record("Order", {
+  op: "string",
+  job: "string",
+  index: "int",
+  attempt: "long",
+  graceS: "double",
+});
 
 /** A member's news for the leader. */
 export interface Sync {
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -20,7 +20,7 @@
 };
 
 export const listen = (server: http.Server, bind: string, connections: number): Effect.Effect<void, Error> =>
-  Effect.async<void, Error>((resume) => {
+  Effect.async((resume: (result: Effect.Effect<void, Error>) => void) => {
     const colon = bind.lastIndexOf(":");
     server.keepAliveTimeout = 75_000;
     server.headersTimeout = 80_000;
--- a/src/io/settings.ts
+++ b/src/io/settings.ts
@@ -15,7 +15,12 @@
   readonly state: string;
   readonly teams: readonly Team[];
   readonly workers: { readonly reportS: number; readonly leaseS: number; readonly cancelS: number };
-  readonly stateLimits: { readonly rps: number; readonly writeRps: number; readonly valueKb: number; readonly txnOps: number };
+  readonly stateLimits: {
+    readonly rps: number;
+    readonly writeRps: number;
+    readonly valueKb: number;
+    readonly txnOps: number;
+  };
   readonly cloudLimits: { readonly rps: number; readonly listLag: Duration.Duration };
   readonly maxConnections: number;
   readonly operator: OperatorSettings;
--- a/src/io/state-client.ts
+++ b/src/io/state-client.ts
@@ -74,7 +74,10 @@
     timeout = TIMEOUT,
     agent = this.agent,
   ): Effect.Effect<Reply, StateError> {
-    return Effect.zipRight(this.admit(urgency, changes), call(agent, { ...c, addr: this.addr, timeout })).pipe(
+    return Effect.zipRight(
+      this.admit(urgency, changes),
+      call(agent, { ...c, addr: this.addr, timeout }),
+    ).pipe(
       Effect.mapError((error) => {
         if (!(error instanceof CallFailed)) return error;
         this.lastBad = now();
@@ -110,10 +113,11 @@
 
   /** Every key with the prefix, and the revision from which a watch misses nothing. */
   list(prefix: string): Effect.Effect<{ rows: Row[]; revision: number }, StateError> {
-    const page = (from: string | null, rows: Row[], revision: number | null): Effect.Effect<
-      { rows: Row[]; revision: number },
-      StateError
-    > =>
+    const page = (
+      from: string | null,
+      rows: Row[],
+      revision: number | null,
+    ): Effect.Effect<{ rows: Row[]; revision: number }, StateError> =>
       this.send({ method: "GET", path: wire.list(prefix, from) }, "first", 0, Duration.seconds(3)).pipe(
         Effect.flatMap((reply) => {
           if (reply.status !== 200) return Effect.fail(new Unavailable({ why: `status ${reply.status}` }));
@@ -140,7 +144,8 @@
         const value = json(reply);
         if (reply.status === 200) return Effect.succeed({ ok: true, revision: wire.revision(value) });
         if (reply.status === 409) return Effect.succeed({ ok: false, failed: wire.failed(value) });
-        if (reply.status === 400) return Effect.succeed({ ok: null, error: reply.body.toString("utf8").slice(0, 200) });
+        if (reply.status === 400)
+          return Effect.succeed({ ok: null, error: reply.body.toString("utf8").slice(0, 200) });
         return Effect.fail(new Unanswered({ why: `status ${reply.status}` }));
       }),
     );
@@ -181,11 +186,13 @@
     const path = wire.watch(prefix, from, Duration.toMillis(wait));
     const timeout = Duration.sum(wait, Duration.seconds(3));
     return this.send({ method: "GET", path }, "first", 0, timeout, this.watchAgent).pipe(
-      Effect.flatMap((reply): Effect.Effect<{ revision: number; events: WatchEvent[] }, StateError | TooOld> => {
-        if (reply.status === 410) return Effect.fail(new TooOld());
-        if (reply.status !== 200) return Effect.fail(new Unavailable({ why: `status ${reply.status}` }));
-        return Effect.succeed(wire.events(json(reply)));
-      }),
+      Effect.flatMap(
+        (reply): Effect.Effect<{ revision: number; events: WatchEvent[] }, StateError | TooOld> => {
+          if (reply.status === 410) return Effect.fail(new TooOld());
+          if (reply.status !== 200) return Effect.fail(new Unavailable({ why: `status ${reply.status}` }));
+          return Effect.succeed(wire.events(json(reply)));
+        },
+      ),
     );
   }
 }
--- a/src/io/worker-client.ts
+++ b/src/io/worker-client.ts
@@ -21,7 +21,8 @@
     return call(this.agent, { addr, method: "POST", path: ordersPath, body, timeout: TIMEOUT }).pipe(
       Effect.map((reply) => {
         const report = reply.status === 200 || reply.status === 409 ? parseReport(json(reply)) : null;
-        if (reply.status === 200) return { outcome: (report === null ? "unknown" : "done") as OrderOutcome, report };
+        if (reply.status === 200)
+          return { outcome: (report === null ? "unknown" : "done") as OrderOutcome, report };
         return { outcome: "rejected" as const, report };
       }),
       Effect.catchAll((failed) =>
--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -123,14 +123,18 @@
   private route(url: string, method: string, body: Buffer | null) {
     if (url === paths.runs) {
       if (method !== "POST") return Effect.succeed(problem(405, "POST a run here"));
-      return body === null ? Effect.succeed(problem(400, "body over 64 KiB")) : this.submit(body.toString("utf8"));
+      return body === null
+        ? Effect.succeed(problem(400, "body over 64 KiB"))
+        : this.submit(body.toString("utf8"));
     }
     const [id = "", verb, ...rest] = url.slice(paths.runs.length + 1).split("/");
     // an id of another form can't have been accepted, nor does it make a key
     if (!JOB_ID.test(id) || rest.length > 0) return Effect.succeed(problem(404, "no such run"));
     if (verb === undefined && method === "GET") return this.poll(id);
     if (verb === paths.cancel && method === "POST") return this.cancel(id);
-    return Effect.succeed(problem(verb === undefined || verb === paths.cancel ? 405 : 404, "no such request"));
+    return Effect.succeed(
+      problem(verb === undefined || verb === paths.cancel ? 405 : 404, "no such request"),
+    );
   }
 
   private submit(body: string) {
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -117,8 +117,10 @@
   /** Whether some other node says that it reaches the state service. */
   othersReachState(): boolean {
     const recent = (x: { at: Instant; ok: boolean }) => x.ok && now() - x.at < 2500;
-    return [...this.members.entries()].some(([name, x]) => name !== this.options.me && recent(x)) ||
-      [...this.member.others.entries()].some(([name, x]) => name !== this.options.me && recent(x));
+    return (
+      [...this.members.entries()].some(([name, x]) => name !== this.options.me && recent(x)) ||
+      [...this.member.others.entries()].some(([name, x]) => name !== this.options.me && recent(x))
+    );
   }
 
   progressOf(id: string): { done: number; running: number } {
@@ -163,7 +165,12 @@
     this.guarded = new Guarded(scheduler);
     this.member.localLeader = this.sync;
     this.log.info(
-      { term: term.token, jobs: jobs.rows.length, machines: machines.rows.length, rentals: rentals.rows.length },
+      {
+        term: term.token,
+        jobs: jobs.rows.length,
+        machines: machines.rows.length,
+        rentals: rentals.rows.length,
+      },
       "leads",
     );
     for (const row of rentals.rows) {
@@ -198,7 +205,9 @@
         Effect.sleep(Duration.millis(200)),
       ),
     ),
-    Effect.catchAllCause((cause) => Effect.sync(() => this.log.error({ cause: cause.toString() }, "leading failed"))),
+    Effect.catchAllCause((cause) =>
+      Effect.sync(() => this.log.error({ cause: cause.toString() }, "leading failed")),
+    ),
     Effect.forever,
   );
 
@@ -225,7 +234,9 @@
     if (this.guarded === null || !this.membership.leads()) return;
     for (const d of this.guarded.with((s) => s.step(now()))) yield* this.fork(this.carryOut(d));
   }).pipe(
-    Effect.catchAllCause((cause) => Effect.sync(() => this.log.error({ cause: cause.toString() }, "step failed"))),
+    Effect.catchAllCause((cause) =>
+      Effect.sync(() => this.log.error({ cause: cause.toString() }, "step failed")),
+    ),
     Effect.forever,
   );
 
@@ -252,7 +263,13 @@
     return Effect.gen(this, function* () {
       const term = this.membership.term;
       if (term === null || this.guarded === null) return;
-      const deliver: Deliver = { term, machine: d.machine, addr: d.addr, session: d.session, orders: d.orders };
+      const deliver: Deliver = {
+        term,
+        machine: d.machine,
+        addr: d.addr,
+        session: d.session,
+        orders: d.orders,
+      };
       if (d.orders.length > 0)
         this.log.info(
           {
@@ -267,13 +284,18 @@
       if (via !== null)
         result = yield* this.peers.deliver(via, deliver).pipe(
           Effect.map((r) => r ?? { outcome: "unsent" as const, report: null }),
-          Effect.catchAll((e) => Effect.succeed({ outcome: e.sent ? ("unknown" as const) : ("unsent" as const), report: null })),
+          Effect.catchAll((e) =>
+            Effect.succeed({ outcome: e.sent ? ("unknown" as const) : ("unsent" as const), report: null }),
+          ),
         );
       // the part's member can't be reached, or didn't send: this node sends by itself
       if (result === null || result.outcome === "unsent") result = yield* this.member.deliver(deliver);
       const { outcome, report } = result;
       if (outcome !== "done")
-        this.log.info({ term: term.token, machine: d.machine, outcome, count: d.orders.length }, "orders not answered");
+        this.log.info(
+          { term: term.token, machine: d.machine, outcome, count: d.orders.length },
+          "orders not answered",
+        );
       this.guarded?.with((s) => {
         if (report !== null) s.report(report, via ?? this.options.me, now());
         s.ordersAnswered(d.machine, d.orders, term.token, outcome);
@@ -346,7 +368,10 @@
     const id = this.stray.shift();
     const leadership = this.membership.leadership;
     if (id === undefined || leadership === null) return;
-    const [ranges, job] = yield* Effect.all([this.state.list(`${keys.ranges}${id}/`), this.state.get(keys.job(id))]);
+    const [ranges, job] = yield* Effect.all([
+      this.state.list(`${keys.ranges}${id}/`),
+      this.state.get(keys.job(id)),
+    ]);
     if (job !== null) return;
     for (let at = 0; at < ranges.rows.length; at += this.options.txnOps)
       yield* this.state.commit(
@@ -363,7 +388,9 @@
     if (this.guarded === null || !this.membership.leads()) return;
     for (const d of this.guarded.with((s) => s.stepFleet(now()))) yield* this.fork(this.carryOut(d));
   }).pipe(
-    Effect.catchAllCause((cause) => Effect.sync(() => this.log.error({ cause: cause.toString() }, "fleet failed"))),
+    Effect.catchAllCause((cause) =>
+      Effect.sync(() => this.log.error({ cause: cause.toString() }, "fleet failed")),
+    ),
     Effect.forever,
   );
 
@@ -469,7 +496,10 @@
     const leadership = this.membership.leadership;
     if (leadership !== null && !same(old, this.mirror.types))
       yield* this.state
-        .commit([{ key: keys.leader, stamp: leadership.stamp }], [{ put: keys.types, value: rows satisfies WireType[] }])
+        .commit(
+          [{ key: keys.leader, stamp: leadership.stamp }],
+          [{ put: keys.types, value: rows satisfies WireType[] }],
+        )
         .pipe(Effect.ignore);
     this.stepNow.poke();
     yield* Effect.sleep(Duration.seconds(30));
--- a/src/service/member.ts
+++ b/src/service/member.ts
@@ -130,7 +130,9 @@
     yield* this.syncOnce;
     this.part.prune(now(), this.options.keepFor);
   }).pipe(
-    Effect.catchAllCause((cause) => Effect.sync(() => this.log.error({ cause: cause.toString() }, "sync failed"))),
+    Effect.catchAllCause((cause) =>
+      Effect.sync(() => this.log.error({ cause: cause.toString() }, "sync failed")),
+    ),
     Effect.forever,
   );
 
@@ -167,7 +169,9 @@
       yield* this.write(writings);
     }
   }).pipe(
-    Effect.catchAllCause((cause) => Effect.sync(() => this.log.error({ cause: cause.toString() }, "storing failed"))),
+    Effect.catchAllCause((cause) =>
+      Effect.sync(() => this.log.error({ cause: cause.toString() }, "storing failed")),
+    ),
     Effect.forever,
   );
 
--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -3,7 +3,13 @@
 import * as Effect from "effect/Effect";
 import { entitled, sameMembers, type Spans } from "../core/term.js";
 import type { Instant } from "../core/time.js";
-import { keys, type LeaderRecord, type MemberRecord, type TermMember, type TermRecord } from "../core/records.js";
+import {
+  keys,
+  type LeaderRecord,
+  type MemberRecord,
+  type TermMember,
+  type TermRecord,
+} from "../core/records.js";
 import { now } from "../io/clock.js";
 import type { Row } from "../io/codec.js";
 import type { Log } from "../io/log.js";
@@ -63,7 +69,10 @@
     this.term = row.value as TermRecord;
     // the fence window counts from a renewal that showed *this* term
     this.confirmed = null;
-    this.log.info({ term: this.term.token, leader: this.term.leader, members: this.term.members.map((m) => m.name) }, "term");
+    this.log.info(
+      { term: this.term.token, leader: this.term.leader, members: this.term.members.map((m) => m.name) },
+      "term",
+    );
     this.onTerm(this.term);
     this.renewNow.poke();
   }
@@ -113,7 +122,9 @@
 
   private readonly renewLoop = Effect.gen(this, function* () {
     const began = now();
-    yield* this.renew.pipe(Effect.catchAll((e) => Effect.sync(() => this.log.debug({ why: e.why }, "renewal failed"))));
+    yield* this.renew.pipe(
+      Effect.catchAll((e) => Effect.sync(() => this.log.debug({ why: e.why }, "renewal failed"))),
+    );
     const left = Duration.toMillis(this.spans.renewEvery) - (now() - began);
     // never in a tight loop, also when poked
     yield* Effect.sleep(Duration.millis(50));
@@ -144,7 +155,8 @@
   private react(): void {
     this.setTerm(this.rows.get(keys.term) ?? null);
     const leader = this.rows.get(keys.leader);
-    if (this.leadership !== null && leader?.stamp !== this.leadership.stamp) this.lose("the leader's key is gone");
+    if (this.leadership !== null && leader?.stamp !== this.leadership.stamp)
+      this.lose("the leader's key is gone");
     this.changed.poke();
   }
 
@@ -170,20 +182,20 @@
   /** Tries to become the leader when there is none. */
   readonly tryLead = Effect.gen(this, function* () {
     const permit = this.permit;
-    if (permit === null || this.leadership !== null || !this.synced || this.rows.has(keys.leader)) return false;
+    if (permit === null || this.leadership !== null || !this.synced || this.rows.has(keys.leader))
+      return false;
     const record: LeaderRecord = { member: this.me, permit };
-    const result = yield* this.state.commit(
-      [{ key: keys.leader, stamp: 0 }],
-      [{ put: keys.leader, value: record, permit }],
-    ).pipe(
-      Effect.map((r) => (r.ok === true ? r.revision : null)),
-      // the answer was lost: reread
-      Effect.catchTag("Unanswered", () =>
-        Effect.map(this.state.get(keys.leader), (row) =>
-          row !== null && (row.value as LeaderRecord).permit === permit ? row.stamp : null,
+    const result = yield* this.state
+      .commit([{ key: keys.leader, stamp: 0 }], [{ put: keys.leader, value: record, permit }])
+      .pipe(
+        Effect.map((r) => (r.ok === true ? r.revision : null)),
+        // the answer was lost: reread
+        Effect.catchTag("Unanswered", () =>
+          Effect.map(this.state.get(keys.leader), (row) =>
+            row !== null && (row.value as LeaderRecord).permit === permit ? row.stamp : null,
+          ),
         ),
-      ),
-    );
+      );
     if (result === null || this.permit !== permit) return false;
     this.leadership = { stamp: result, permit };
     this.rows.set(keys.leader, { key: keys.leader, value: record, stamp: result });
@@ -195,7 +207,9 @@
   readonly writeTerm = Effect.gen(this, function* () {
     const leadership = this.leadership;
     if (leadership === null) return false;
-    const [row, list] = yield* Effect.all([this.state.get(keys.term), this.state.list(keys.members)], { concurrency: 2 });
+    const [row, list] = yield* Effect.all([this.state.get(keys.term), this.state.list(keys.members)], {
+      concurrency: 2,
+    });
     const old = row === null ? null : (row.value as TermRecord);
     const members: TermMember[] = list.rows.map((r) => ({
       name: r.key.slice(keys.members.length),
--- a/src/service/mirror.ts
+++ b/src/service/mirror.ts
@@ -48,7 +48,8 @@
       present.add(row.key.slice(keys.jobs.length));
       this.put(row.key, row.value, row.stamp);
     }
-    for (const [id, job] of [...this.jobs]) if (!present.has(id) && job.stamp <= list.revision) this.remove(id);
+    for (const [id, job] of [...this.jobs])
+      if (!present.has(id) && job.stamp <= list.revision) this.remove(id);
     this.ready = true;
     let revision = list.revision;
     for (;;) {
--- a/src/service/peers.ts
+++ b/src/service/peers.ts
@@ -65,7 +65,8 @@
         response.writeHead(200, { "content-type": TYPE, "content-length": buffer.length }).end(buffer);
       };
       try {
-        if (request.url === peerPaths.sync) send(syncAnswerCodec.encode(handlers.sync(syncCodec.decode(body))));
+        if (request.url === peerPaths.sync)
+          send(syncAnswerCodec.encode(handlers.sync(syncCodec.decode(body))));
         else if (request.url === peerPaths.deliver)
           Effect.runFork(
             Effect.map(handlers.deliver(deliverCodec.decode(body)), (d) => send(deliveredCodec.encode(d))),
--- a/src/service/signal.ts
+++ b/src/service/signal.ts
@@ -13,7 +13,7 @@
 
   /** Ends at the next poke, or after `most`. One waiter at a time. */
   wait(most: Duration.Duration): Effect.Effect<void> {
-    return Effect.async<void>((resume) => {
+    return Effect.async((resume: (result: Effect.Effect<void>) => void) => {
       const finish = (): void => {
         clearTimeout(timer);
         this.waiter = null;
--- a/src/service/status.ts
+++ b/src/service/status.ts
@@ -70,7 +70,9 @@
   /** One comparing transaction shows for all that no commit exists; whoever fails it is read. */
   private check(batch: readonly Waiting[]): Effect.Effect<void> {
     const when: Condition[] = [];
-    for (const key of new Set(batch.flatMap((w) => (w.known ? [keys.commit(w.id)] : [keys.commit(w.id), keys.job(w.id)]))))
+    for (const key of new Set(
+      batch.flatMap((w) => (w.known ? [keys.commit(w.id)] : [keys.commit(w.id), keys.job(w.id)])),
+    ))
       when.push({ key, stamp: 0 });
     return this.state.commit(when, []).pipe(
       Effect.flatMap((result) =>
