--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -684,7 +684,10 @@
       let list = orders.get(m.id);
       if (list === undefined) {
         // unconfirmed or silent machines are asked directly, without orders: the answer is their picture
-        const old = m.token < this.term.token || (m.heard !== null && passed(now, m.heard, probeAfter));
+        // a machine that never reported is asked only if an earlier leader may have started something on it
+        const old =
+          (m.heard !== null || !m.confirmed ? m.token < this.term.token : false) ||
+          (m.heard !== null && passed(now, m.heard, probeAfter));
         const asked = m.probedAt !== null && !passed(now, m.probedAt, Duration.seconds(1));
         if (!old || asked || !m.recorded) continue;
         m.probedAt = now;
@@ -722,6 +725,35 @@
     }
   }
 
+  /** One line for operators: what there is, what is in use, what waits. */
+  summary(now: Instant): Record<string, number> {
+    let cpus = 0;
+    let used = 0;
+    let booting = 0;
+    let ready = 0;
+    let spot = 0;
+    for (const m of this.cluster.machines.values()) {
+      if (m.heard === null) booting++;
+      if (!this.usable(m, now)) continue;
+      ready++;
+      cpus += m.cpus;
+      used += m.used.cpus;
+      if (m.spot) spot++;
+    }
+    let waiting = 0;
+    for (const j of this.cluster.jobs.values()) waiting += j.pending.size * j.spec.cpus;
+    return {
+      machines: this.cluster.machines.size,
+      ready,
+      booting,
+      spot,
+      cpus,
+      used,
+      waiting,
+      jobs: this.cluster.jobs.size,
+    };
+  }
+
   // --- fleet ------------------------------------------------------------------------------------------
 
   /** Called about once a second, and only while the cloud can be asked. */
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -183,6 +183,7 @@
     yield* this.fork(this.typesLoop);
     yield* this.fork(this.recordLoop(leadership));
     yield* this.fork(this.strayLoop);
+    yield* this.fork(this.summaryLoop);
   });
 
   private fork<A, E>(effect: Effect.Effect<A, E>): Effect.Effect<void> {
@@ -394,6 +395,11 @@
     Effect.forever,
   );
 
+  private readonly summaryLoop = Effect.gen(this, function* () {
+    yield* Effect.sleep(Duration.seconds(5));
+    this.guarded?.with((s) => this.log.info({ term: s.term.token, ...s.summary(now()) }, "summary"));
+  }).pipe(Effect.forever);
+
   private rent(d: Extract<Decision, { kind: "rent" }>): Effect.Effect<void> {
     return Effect.gen(this, function* () {
       const leadership = this.membership.leadership;
--- /dev/null
+++ b/test/model.ts
@@ -0,0 +1,678 @@
+/**
+ * A model of workers, state service and cloud round the pure core, in virtual time, with loss, delay,
+ * duplication, crashes, cuts and hangs drawn from a seed. Every rule of the protocol that the core answers for
+ * is checked after each step.
+ */
+import * as Duration from "effect/Duration";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type {
+  JobSpec,
+  MachineRecord,
+  MachineType,
+  Order,
+  Team,
+  TermRecord,
+  WorkerReport,
+} from "../src/core/records.js";
+import { Part } from "../src/core/part.js";
+import { RangeSet } from "../src/core/ranges.js";
+import { type Decision, type OrderOutcome, Scheduler } from "../src/core/scheduler.js";
+import { entitled, sameMembers, spansOf } from "../src/core/term.js";
+import { type Instant, instant, minus } from "../src/core/time.js";
+
+/** A guard that a run may take out, to show that the checker notices. */
+export type Guard = "confirm" | "fence" | "doubt" | "quota" | "zone" | "cancel";
+
+const TTL = Duration.seconds(3);
+export const SPANS = spansOf({ leaseS: 12, reportS: 1, cancelS: 30 }, TTL);
+const STEP = 50;
+
+export const TYPES: MachineType[] = [["small", 8, 16] as const, ["large", 16, 64] as const].map(
+  ([name, cpus, memoryGb]) => ({
+    name,
+    cpus,
+    gpus: 0,
+    memoryGb,
+    cacheGb: 50,
+    fetchGbPerS: 1,
+    price: cpus / 16,
+    spotPrice: cpus / 48,
+    boot: Duration.seconds(3),
+    zones: ["east", "west"],
+  }),
+);
+export const TEAMS: Team[] = [
+  { name: "red", cpus: 8, cpusMax: 24, gpus: 0, gpusMax: 0 },
+  { name: "blue", cpus: 8, cpusMax: 0, gpus: 0, gpusMax: 0 },
+];
+
+interface WorkerTask {
+  attempt: number;
+  job: string;
+  index: number;
+  state: "fetching" | "running" | "exited";
+  why: "done" | "stopped" | "error" | "busy" | "no_room" | null;
+  left: number;
+}
+
+class Worker {
+  session = 1;
+  seq = 0;
+  token = 0;
+  answeredSent: number;
+  gone = false;
+  hungUntil = 0;
+  cutUntil = 0;
+  node = 0;
+  nextReport: number;
+  readonly tasks = new Map<string, WorkerTask>();
+  constructor(
+    readonly id: string,
+    readonly record: MachineRecord,
+    readonly up: number,
+    readonly cpus: number,
+  ) {
+    this.answeredSent = up;
+    this.nextReport = up;
+  }
+}
+
+interface Node {
+  readonly name: string;
+  readonly zone: string;
+  alive: boolean;
+  back: number;
+  incarnation: number;
+  part: Part;
+  confirmed: Instant | null;
+  term: TermRecord | null;
+  /** The lease in the state service; the key goes when it ends. */
+  leaseUntil: number;
+  nextRenew: number;
+  stateCutUntil: number;
+  scheduler: Scheduler | null;
+  leaderStamp: number;
+  began: number;
+  mark: number;
+  markToken: number;
+  nextSync: number;
+}
+
+export interface Broken {
+  readonly rule: string;
+  readonly text: string;
+}
+
+export class World {
+  now = 0;
+  revision = 1;
+  readonly broken: Broken[] = [];
+  started = 0;
+  committed = 0;
+  terms = 0;
+  private readonly random: () => number;
+  private readonly messages: { at: number; run: () => void }[] = [];
+  private readonly nodes: Node[] = [];
+  private readonly workers = new Map<string, Worker>();
+  private readonly jobs = new Map<string, { spec: JobSpec; stamp: number }>();
+  private readonly allJobs = new Map<string, JobSpec>();
+  private readonly commits = new Map<string, { outcome: "done" | "cancelled"; at: number }>();
+  private readonly stored = new Map<string, RangeSet>();
+  private readonly completed = new Map<string, RangeSet>();
+  private readonly records = new Map<string, MachineRecord>();
+  private leader: { name: string; until: number; stamp: number } | null = null;
+  private term: TermRecord | null = null;
+  private stateDownUntil = 0;
+  private nextJob = 0;
+  private machines = 0;
+
+  constructor(
+    seed: number,
+    private readonly without: Guard | null = null,
+    private readonly rough = 1,
+  ) {
+    const generator = xoroshiro128plus(seed);
+    this.random = () => uniformFloat64(generator);
+    for (const [i, zone] of ["east", "west", "east"].entries())
+      this.nodes.push(this.newNode(`node-${i}`, zone));
+    for (let i = 0; i < 3; i++)
+      this.addMachine(i % 2 === 0 ? "small" : "large", i % 2 === 0 ? "east" : "west", false);
+  }
+
+  private newNode(name: string, zone: string): Node {
+    return {
+      name,
+      zone,
+      alive: true,
+      back: 0,
+      incarnation: 0,
+      part: new Part(name, 400),
+      confirmed: null,
+      term: null,
+      leaseUntil: 0,
+      nextRenew: this.now,
+      stateCutUntil: 0,
+      scheduler: null,
+      leaderStamp: 0,
+      began: this.now,
+      mark: -1,
+      markToken: 0,
+      nextSync: this.now,
+    };
+  }
+
+  private addMachine(type: string, zone: string, spot: boolean): string {
+    const id = `n-${String(this.machines++).padStart(4, "0")}`;
+    const cpus = TYPES.find((t) => t.name === type)!.cpus;
+    this.workers.set(
+      id,
+      new Worker(id, { type, zone, spot, addr: id }, this.now + 500 + this.random() * 3000, cpus),
+    );
+    return id;
+  }
+
+  private chance(perSecond: number): boolean {
+    return this.random() < (perSecond * this.rough * STEP) / 1000;
+  }
+  private pick<T>(list: readonly T[]): T {
+    return list[Math.floor(this.random() * list.length)]!;
+  }
+  /** Messages are quick, slow, or held back for long; some never arrive. */
+  private later(run: () => void, mayBeLost = true): void {
+    const luck = this.random();
+    if (mayBeLost && luck < 0.01 * this.rough) return;
+    const delay = luck > 1 - 0.02 * this.rough ? 500 + this.random() * 9000 : 2 + this.random() * 40;
+    this.messages.push({ at: this.now + delay, run });
+  }
+
+  private entitled(node: Node): boolean {
+    if (!node.alive || node.term === null) return false;
+    if (this.without === "fence") return node.confirmed !== null;
+    return entitled(SPANS, node.confirmed, instant(this.now)) && this.inTerm(node);
+  }
+  private inTerm(node: Node): boolean {
+    return node.term!.members.some((m) => m.name === node.name && m.incarnation === node.incarnation);
+  }
+  private reachesState(node: Node): boolean {
+    return node.alive && this.now >= this.stateDownUntil && this.now >= node.stateCutUntil;
+  }
+
+  step(): void {
+    this.now += STEP;
+    this.troubles();
+    this.users();
+    this.messages.sort((a, b) => a.at - b.at);
+    while (this.messages.length > 0 && this.messages[0]!.at <= this.now) this.messages.shift()!.run();
+    for (const w of this.workers.values()) this.work(w);
+    for (const node of this.nodes) this.act(node);
+    this.check();
+  }
+
+  private troubles(): void {
+    if (this.chance(0.02)) {
+      const node = this.pick(this.nodes);
+      if (node.alive) {
+        Object.assign(node, this.newNode(node.name, node.zone), {
+          alive: false,
+          back: this.now + this.random() * 4000,
+        });
+      }
+    }
+    if (this.chance(0.02)) this.pick(this.nodes).stateCutUntil = this.now + this.random() * 10_000;
+    if (this.chance(0.004)) this.stateDownUntil = this.now + this.random() * 8000;
+    const workers = [...this.workers.values()].filter((w) => !w.gone);
+    if (workers.length > 0) {
+      if (this.chance(0.03)) this.pick(workers).hungUntil = this.now + this.random() * 15_000;
+      if (this.chance(0.03)) this.pick(workers).cutUntil = this.now + this.random() * 20_000;
+      if (this.chance(0.01)) this.kill(this.pick(workers));
+    }
+    for (const node of this.nodes)
+      if (!node.alive && this.now >= node.back) Object.assign(node, this.newNode(node.name, node.zone));
+  }
+
+  private kill(w: Worker): void {
+    w.gone = true;
+    w.tasks.clear();
+  }
+
+  private users(): void {
+    if (this.now < this.stateDownUntil) return;
+    if (this.jobs.size < 8 && this.chance(0.8 / this.rough)) {
+      const kind = this.pick(["array", "array", "service"] as const);
+      const n = this.nextJob++;
+      const spec: JobSpec = {
+        id: `req-${String(n).padStart(6, "0")}`,
+        className: kind,
+        team: this.pick(["red", "blue"]),
+        kind,
+        priority: kind === "service" ? "production" : this.pick(["normal", "low"] as const),
+        tasks: kind === "service" ? 1 : 1 + Math.floor(this.random() * 8),
+        cpus: this.pick([1, 2, 4]),
+        gpus: 0,
+        memoryGb: 2,
+        image: this.pick(["a", "b"]),
+        imageGb: 1,
+        types: this.random() < 0.2 ? ["large"] : null,
+        zone: this.random() < 0.2 ? "west" : null,
+        oneZone: this.random() < 0.3,
+        spread: false,
+        spot: this.random() < 0.5,
+        estimate: Duration.seconds(5),
+        checkpoint: Duration.zero,
+        save: Duration.zero,
+        deadline: null,
+      };
+      this.allJobs.set(spec.id, spec);
+      this.jobs.set(spec.id, { spec, stamp: ++this.revision });
+    }
+    if (this.jobs.size > 0 && this.chance(0.15 / this.rough))
+      this.commit(this.pick([...this.jobs.keys()]), "cancelled");
+  }
+
+  private commit(id: string, outcome: "done" | "cancelled"): void {
+    if (this.commits.has(id)) return;
+    this.commits.set(id, { outcome, at: this.now });
+    this.jobs.delete(id);
+    this.revision++;
+    if (outcome !== "done") return;
+    this.committed++;
+    const spec = this.allJobs.get(id)!;
+    if (!(this.completed.get(id) ?? new RangeSet()).covers(spec.tasks))
+      this.broken.push({ rule: "not_done", text: `${id} at ${this.now}` });
+  }
+
+  // --- workers ------------------------------------------------------------------------------------------
+
+  private report(w: Worker): WorkerReport {
+    return {
+      machine: w.id,
+      addr: w.id,
+      type: w.record.type,
+      zone: w.record.zone,
+      spot: w.record.spot,
+      session: w.session,
+      seq: ++w.seq,
+      token: w.token,
+      noticeS: null,
+      tasks: [...w.tasks.values()].map((t) => ({ ...t })),
+    };
+  }
+
+  private work(w: Worker): void {
+    if (w.gone || this.now < w.up || this.now < w.hungUntil) return;
+    if (this.now - w.answeredSent > Duration.toMillis(SPANS.workerLease)) {
+      w.tasks.clear();
+      w.session++;
+      w.answeredSent = this.now;
+    }
+    for (const t of w.tasks.values()) {
+      if (t.state === "exited") continue;
+      t.left -= STEP;
+      if (t.state === "fetching" && t.left <= 0) {
+        t.state = "running";
+        t.left = this.allJobs.get(t.job)!.kind === "service" ? Infinity : 500 + this.random() * 6000;
+      } else if (t.left <= 0) {
+        t.state = "exited";
+        t.why = this.random() < 0.05 ? "error" : "done";
+        if (t.why === "done") {
+          const done = this.completed.get(t.job) ?? new RangeSet();
+          if (!done.has(t.index)) done.add(t.index);
+          this.completed.set(t.job, done);
+        }
+      }
+    }
+    if (this.now < w.nextReport || this.now < w.cutUntil) return;
+    w.nextReport = this.now + 1000;
+    const sent = this.now;
+    const report = this.report(w);
+    const node = this.nodes[w.node % this.nodes.length]!;
+    this.later(() => {
+      if (!node.alive) {
+        w.node++;
+        return;
+      }
+      const answer = node.part.beat(report, this.entitled(node), node.incarnation, instant(this.now));
+      if (answer.kind === "elsewhere") w.node = this.nodes.findIndex((n) => n.name === answer.member);
+      else if (answer.kind === "unsure") w.node++;
+      if (answer.kind !== "taken") return;
+      const { token } = answer;
+      const session = report.session;
+      this.later(() => {
+        if (this.now < w.cutUntil || w.session !== session || token < w.token || this.now - sent > 4000)
+          return;
+        w.token = token;
+        w.answeredSent = Math.max(w.answeredSent, sent);
+      });
+    });
+  }
+
+  private execute(w: Worker, token: number, session: number, orders: readonly Order[]): boolean {
+    if (token < w.token || session !== w.session) return false;
+    w.token = token;
+    for (const o of orders) {
+      const key = `${o.job}/${o.index}#${o.attempt}`;
+      const task = w.tasks.get(key);
+      if (o.op === "forget") {
+        if (task?.state === "exited") w.tasks.delete(key);
+      } else if (o.op === "stop") {
+        if (task !== undefined && task.state !== "exited")
+          Object.assign(task, { state: "exited", why: "stopped" });
+      } else if (task === undefined) this.begin(w, o, key);
+    }
+    return true;
+  }
+
+  private begin(w: Worker, o: Order, key: string): void {
+    const live = [...w.tasks.values()].filter((t) => t.state !== "exited");
+    const spec = this.allJobs.get(o.job)!;
+    const used = live.reduce((sum, t) => sum + this.allJobs.get(t.job)!.cpus, 0);
+    const base = { attempt: o.attempt, job: o.job, index: o.index, left: 0 };
+    if (live.some((t) => t.job === o.job && t.index === o.index)) {
+      w.tasks.set(key, { ...base, state: "exited", why: "busy" });
+      return;
+    }
+    if (used + spec.cpus > w.cpus) {
+      w.tasks.set(key, { ...base, state: "exited", why: "no_room" });
+      return;
+    }
+    this.started++;
+    const elsewhere = this.holders(o.job, o.index).filter((x) => x !== w);
+    if (elsewhere.length > 0)
+      this.broken.push({
+        rule: "ran_twice",
+        text: `${o.job}/${o.index} on ${w.id} and ${elsewhere[0]!.id} at ${this.now}`,
+      });
+    const r = w.record;
+    const zones = new Set(this.onMachines(o.job).map((x) => x.record.zone));
+    if (
+      (spec.types !== null && !spec.types.includes(r.type)) ||
+      (spec.zone !== null && spec.zone !== r.zone) ||
+      (!spec.spot && r.spot) ||
+      (spec.oneZone && [...zones].some((z) => z !== r.zone))
+    )
+      this.broken.push({ rule: "wrong_place", text: `${o.job}/${o.index} on ${w.id} at ${this.now}` });
+    w.tasks.set(key, { ...base, state: "fetching", why: null, left: 200 });
+  }
+
+  private onMachines(job: string): Worker[] {
+    return [...this.workers.values()].filter((w) =>
+      [...w.tasks.values()].some((t) => t.job === job && t.state !== "exited"),
+    );
+  }
+  private holders(job: string, index: number): Worker[] {
+    return [...this.workers.values()].filter((w) =>
+      [...w.tasks.values()].some((t) => t.job === job && t.index === index && t.state !== "exited"),
+    );
+  }
+
+  // --- controllers --------------------------------------------------------------------------------------
+
+  private act(node: Node): void {
+    if (!node.alive) return;
+    if (this.leader !== null && this.now >= this.leader.until && this.now >= this.stateDownUntil)
+      this.leader = null;
+    if (this.now >= node.nextRenew) this.renew(node);
+    if (this.now >= node.nextSync && node.term !== null) this.sync(node);
+    this.store(node);
+    const s = node.scheduler;
+    if (s === null || node.term?.leader !== node.name || !this.entitled(node)) return;
+    if (this.reachesState(node)) this.watchJobs(s);
+    for (const d of s.step(instant(this.now))) this.carryOut(node, s, d);
+    if (this.now % 500 === 0) for (const d of s.stepFleet(instant(this.now))) this.carryOut(node, s, d);
+  }
+
+  /** Renewals take a while; the fence counts from when they were sent. */
+  private renew(node: Node): void {
+    node.nextRenew = this.now + 700;
+    const sent = instant(this.now);
+    const { incarnation } = node;
+    if (!this.reachesState(node)) return;
+    this.later(() => {
+      if (!this.reachesState(node) || node.incarnation !== incarnation) return;
+      if (this.now >= node.leaseUntil) {
+        // a new lease, a new key
+        node.incarnation = ++this.revision;
+        node.scheduler = null;
+      }
+      node.leaseUntil = this.now + Duration.toMillis(TTL);
+      if (this.leader?.name === node.name && this.leader.stamp === node.leaderStamp)
+        this.leader.until = node.leaseUntil;
+      if (this.leader === null) {
+        this.leader = { name: node.name, until: node.leaseUntil, stamp: ++this.revision };
+        node.leaderStamp = this.leader.stamp;
+        node.scheduler = null;
+      }
+      if (this.leader.name === node.name && this.leader.stamp === node.leaderStamp) this.lead(node);
+      if (node.term !== this.term && this.term !== null) {
+        node.term = this.term;
+        node.part.setTerm(this.term);
+      }
+      node.confirmed = sent;
+    });
+  }
+
+  private lead(node: Node): void {
+    const members = this.nodes
+      .filter((n) => n.alive && n.leaseUntil > this.now)
+      .map((n) => ({ name: n.name, incarnation: n.incarnation, zone: n.zone }));
+    const fresh = node.scheduler === null;
+    if (!fresh && this.term !== null && sameMembers(this.term.members, members)) return;
+    this.newTerm(node, members);
+    if (!fresh) {
+      node.scheduler!.renewTerm(this.term!, instant(this.now));
+      return;
+    }
+    // the state service answers at once in the model: reread everything
+    const s = new Scheduler(
+      {
+        spans: SPANS,
+        teams: new Map(TEAMS.map((t) => [t.name, this.without === "quota" ? { ...t, cpusMax: 0 } : t])),
+        fleet: { reuse: 0.5, idleFor: Duration.seconds(5), warmFor: Duration.seconds(2) },
+      },
+      this.term!,
+      node.leaderStamp,
+      instant(this.now),
+    );
+    for (const [id, record] of this.records) {
+      const m = s.recorded(id, record, instant(this.now));
+      if (this.without === "confirm" && m !== null) m.confirmed = true;
+    }
+    s.setTypes(TYPES);
+    for (const { spec, stamp } of this.jobs.values()) this.tell(s, spec, stamp);
+    for (const [id, set] of this.stored) s.stored(id, set.ranges());
+    node.scheduler = s;
+  }
+
+  private newTerm(node: Node, members: TermRecord["members"]): void {
+    this.terms++;
+    this.term = { token: (this.term?.token ?? 0) + 1, leader: node.name, members };
+    node.term = this.term;
+    node.part.setTerm(this.term);
+    node.confirmed = null;
+    node.nextRenew = this.now;
+  }
+
+  private tell(s: Scheduler, spec: JobSpec, stamp: number): void {
+    const seen = this.without === "zone" ? { ...spec, oneZone: false, zone: null, types: null } : spec;
+    s.jobSeen(seen, stamp, instant(this.now));
+  }
+
+  private watchJobs(s: Scheduler): void {
+    for (const { spec, stamp } of this.jobs.values()) this.tell(s, spec, stamp);
+    if (this.without === "cancel") return;
+    for (const id of [...s.cluster.jobs.keys()]) if (!this.jobs.has(id)) s.jobOver(id);
+  }
+
+  private sync(node: Node): void {
+    node.nextSync = this.now + 200;
+    const term = node.term!;
+    if (node.markToken !== term.token) {
+      node.mark = -1;
+      node.markToken = term.token;
+    }
+    const news = node.part.news();
+    const { incarnation, mark } = node;
+    const answered = [...node.part.answeredAt].map(([machine, at]) => ({ machine, age: this.now - at }));
+    const to = this.nodes.find((n) => n.name === term.leader)!;
+    let arrived = false;
+    this.later(() => {
+      const s = to.scheduler;
+      if (s === null || to.term?.token !== term.token || !this.entitled(to)) return;
+      arrived = true;
+      const at = instant(this.now);
+      for (const r of news.reports) s.report(r, node.name, at);
+      for (const x of news.stored) s.stored(x.job, x.ranges);
+      s.vouched(
+        node.name,
+        incarnation,
+        term.token,
+        mark < 0 ? null : instant(mark),
+        answered.map((a) => ({ machine: a.machine, at: minus(at, Duration.millis(a.age)) })),
+      );
+      const stamp = this.now;
+      this.later(() => {
+        if (node.markToken === term.token && node.incarnation === incarnation)
+          node.mark = Math.max(node.mark, stamp);
+      });
+    });
+    this.messages.push({
+      at: this.now + 1500,
+      run: () => {
+        if (!arrived && node.incarnation === incarnation) node.part.untold(news);
+      },
+    });
+  }
+
+  private store(node: Node): void {
+    if (!this.reachesState(node) || node.leaseUntil <= this.now) return;
+    for (const w of node.part.toStore(`${node.name}.${node.incarnation}`, 8)) {
+      if (this.commits.has(w.job)) {
+        node.part.storeAnswered(w, "over");
+        continue;
+      }
+      const set = this.stored.get(w.job) ?? new RangeSet();
+      for (const put of w.puts) for (const [from, to] of put.ranges) set.add(from, to);
+      this.stored.set(w.job, set);
+      node.part.storeAnswered(w, this.random() < 0.1 ? "failed" : "stored");
+    }
+  }
+
+  private carryOut(node: Node, s: Scheduler, d: Decision): void {
+    const ownKey = () => this.reachesState(node) && this.leader?.stamp === node.leaderStamp;
+    if (d.kind === "orders") this.sendOrders(node, s, d);
+    else if (d.kind === "commit") {
+      if (ownKey() && (this.stored.get(d.job)?.covers(d.tasks) ?? false)) this.commit(d.job, "done");
+      s.commitFailed(d.job);
+    } else if (d.kind === "record") {
+      if (ownKey()) {
+        this.records.set(d.machine, d.record);
+        s.recorded(d.machine, d.record, instant(this.now));
+      } else s.recordFailed(d.machine);
+    } else if (d.kind === "rent") {
+      const ids: string[] = [];
+      for (let i = 0; i < d.rent.count && this.machinesUp() < 12; i++)
+        ids.push(this.addMachine(d.rent.type.name, d.rent.zone, d.rent.spot));
+      const record = { type: d.rent.type.name, zone: d.rent.zone, spot: d.rent.spot, count: d.rent.count };
+      if (ownKey()) {
+        for (const id of ids) this.records.set(id, { ...record, addr: null });
+        s.rentalAnswered("", record, ids, instant(this.now));
+      }
+    } else if (d.kind === "release") {
+      // the cloud may be slow, and its answer may be lost
+      const ids = d.machines;
+      this.later(() => {
+        for (const id of ids) {
+          const w = this.workers.get(id);
+          if (w !== undefined) this.kill(w);
+        }
+        this.later(() => {
+          s.releaseAnswered(ids, true, instant(this.now));
+          if (ownKey()) for (const id of ids) this.records.delete(id);
+        });
+      });
+    } else if (d.kind === "newTerm" && ownKey()) {
+      this.newTerm(node, this.term!.members);
+      s.renewTerm(this.term!, instant(this.now));
+    }
+  }
+
+  private machinesUp(): number {
+    return [...this.workers.values()].filter((w) => !w.gone).length;
+  }
+
+  private sendOrders(leader: Node, s: Scheduler, d: Extract<Decision, { kind: "orders" }>): void {
+    const term = leader.term!;
+    const via = this.nodes.find((n) => n.name === d.via) ?? leader;
+    const w = this.workers.get(d.machine);
+    let outcome: OrderOutcome = "unknown";
+    let report: WorkerReport | null = null;
+    let answered = false;
+    const back = (): void => {
+      if (answered) return;
+      answered = true;
+      if (leader.scheduler !== s) return;
+      if (report !== null) s.report(report, via.name, instant(this.now));
+      const told = this.without === "doubt" && outcome === "unknown" ? "unsent" : outcome;
+      s.ordersAnswered(d.machine, d.orders, term.token, told);
+    };
+    this.later(() => {
+      if (!via.alive) return;
+      if (via.term?.token !== term.token || !this.entitled(via)) {
+        outcome = "unsent";
+        this.later(back);
+        return;
+      }
+      const reach = (): void => {
+        if (w === undefined || w.gone || this.now < w.up) return;
+        // hung or cut: the order waits, and is executed when that ends
+        if (this.now < w.hungUntil || this.now < w.cutUntil) {
+          this.messages.push({ at: Math.max(w.hungUntil, w.cutUntil) + 1, run: reach });
+          return;
+        }
+        outcome = this.execute(w, term.token, d.session, d.orders) ? "done" : "rejected";
+        report = this.report(w);
+        const r = report;
+        this.later(() => {
+          if (via.alive) via.part.take(r);
+          back();
+        });
+      };
+      this.later(reach);
+    });
+    this.messages.push({
+      at: this.now + 3000,
+      run: () => {
+        if (outcome !== "unsent") {
+          outcome = "unknown";
+          report = null;
+        }
+        back();
+      },
+    });
+  }
+
+  // --- rules --------------------------------------------------------------------------------------------
+
+  private check(): void {
+    const usage = new Map<string, number>();
+    for (const w of this.workers.values())
+      for (const t of w.tasks.values()) {
+        if (t.state === "exited") continue;
+        const spec = this.allJobs.get(t.job)!;
+        usage.set(spec.team, (usage.get(spec.team) ?? 0) + spec.cpus);
+        const commit = this.commits.get(t.job);
+        const late = commit !== undefined && this.now > commit.at + Duration.toMillis(SPANS.cancel);
+        if (commit?.outcome === "cancelled" && late)
+          this.broken.push({ rule: "ran_cancelled", text: `${t.job}/${t.index} on ${w.id} at ${this.now}` });
+      }
+    for (const team of TEAMS)
+      if (team.cpusMax > 0 && (usage.get(team.name) ?? 0) > team.cpusMax)
+        this.broken.push({ rule: "quota", text: `${team.name}: ${usage.get(team.name)} at ${this.now}` });
+  }
+
+  run(ms: number): this {
+    while (this.now < ms && this.broken.length === 0) this.step();
+    return this;
+  }
+}
--- /dev/null
+++ b/test/rules.test.ts
@@ -0,0 +1,44 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Guard, World } from "./model.js";
+
+const SEEDS = Array.from({ length: 24 }, (_, i) => 1000 + i);
+
+for (const [name, rough] of [
+  ["calm", 0.3],
+  ["rough", 1],
+  ["very rough", 3],
+] as const)
+  test(`no rule is broken in seeded runs: ${name}`, () => {
+    let started = 0;
+    let committed = 0;
+    let terms = 0;
+    for (const seed of SEEDS) {
+      const world = new World(seed, null, rough).run(180_000);
+      assert.deepEqual(world.broken, [], `seed ${seed}`);
+      started += world.started;
+      committed += world.committed;
+      terms += world.terms;
+    }
+    // the runs must have had something to break
+    assert.ok(started > 500, `only ${started} starts`);
+    assert.ok(committed > 50, `only ${committed} jobs done`);
+    assert.ok(terms > SEEDS.length, `only ${terms} terms`);
+  });
+
+const GUARDS: [Guard, string][] = [
+  ["confirm", "ran_twice"],
+  ["doubt", "ran_twice"],
+  ["quota", "quota"],
+  ["zone", "wrong_place"],
+  ["cancel", "ran_cancelled"],
+];
+for (const [guard, rule] of GUARDS)
+  test(`the checker notices when the guard "${guard}" is taken out`, () => {
+    const rules = new Set<string>();
+    for (const seed of SEEDS) {
+      for (const b of new World(seed, guard, 2).run(180_000).broken) rules.add(b.rule);
+      if (rules.has(rule)) return;
+    }
+    assert.fail(`no run broke ${rule}: ${[...rules].join(", ") || "nothing at all"}`);
+  });
