--- /dev/null
+++ b/test/cli.test.ts
@@ -0,0 +1,85 @@
+import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+
+const MAIN = new URL("../../main.js", import.meta.url).pathname;
+const ROOT = new URL("../../../", import.meta.url).pathname;
+const run = (...args: string[]) => spawnSync(process.execPath, [MAIN, ...args], { encoding: "utf8" });
+const dir = mkdtempSync(join(tmpdir(), "indigowick-"));
+const file = (name: string, value: unknown): string => {
+  const path = join(dir, name);
+  writeFileSync(path, typeof value === "string" ? value : JSON.stringify(value));
+  return path;
+};
+const platform = {
+  member: "one",
+  domain: "east",
+  front: "127.0.0.1:1",
+  peer_bind: "127.0.0.1:2",
+  seeds: [],
+  external: { cloud: "127.0.0.1:3", state: "127.0.0.1:4" },
+  params: {
+    zones: ["east"],
+    teams: [{ name: "red", cpus: 4, cpus_max: 8, gpus: 0, gpus_max: 0 }],
+    workers: { report_s: 3, lease_s: 10, cancel_s: 30 },
+    state: { rps: 10, write_rps: 10, value_kb: 16, txn_ops: 16 },
+    cloud: { rps: 5, list_lag_s: 1 },
+    machine_limits: { max_connections: 500 },
+  },
+};
+
+test("good files are checked and accepted", () => {
+  const result = run(
+    "check",
+    "--config",
+    file("good.json", platform),
+    "--settings",
+    file("own.json", { idle_s: 5 }),
+  );
+  assert.equal(result.status, 0, result.stderr);
+  assert.match(result.stdout, /^ok: one in east/);
+});
+
+test("a bad file ends with one line that names the field, and code 2", () => {
+  const bad: [string, string[], RegExp][] = [
+    ["missing", ["check", "--config", join(dir, "nothing.json")], /nothing\.json: can't be read/],
+    ["not JSON", ["check", "--config", file("text.json", "{")], /text\.json: not JSON/],
+    [
+      "a field",
+      ["check", "--config", file("a.json", { ...platform, front: 7 })],
+      /a\.json: front must be string/,
+    ],
+    [
+      "a nested field",
+      [
+        "check",
+        "--config",
+        file("b.json", { ...platform, params: { ...platform.params, state: { rps: 0 } } }),
+      ],
+      /b\.json: params\.state/,
+    ],
+    [
+      "an unknown setting",
+      ["check", "--config", file("c.json", platform), "--settings", file("d.json", { idel_s: 5 })],
+      /d\.json: .*idel_s/,
+    ],
+    ["run as well", ["--config", file("e.json", {})], /e\.json: /],
+  ];
+  for (const [name, args, expected] of bad) {
+    const result = run(...args);
+    assert.equal(result.status, 2, name);
+    assert.match(result.stderr, expected, name);
+    assert.equal(result.stderr.trim().split("\n").length, 1, name);
+  }
+});
+
+test("help, version and the published schema", () => {
+  assert.match(run("--help").stdout, /Usage: indigowick/);
+  const version = (JSON.parse(readFileSync(join(ROOT, "package.json"), "utf8")) as { version: string })
+    .version;
+  assert.equal(run("--version").stdout.trim(), version);
+  assert.equal(run("schema").stdout, readFileSync(join(ROOT, "docs/settings.schema.json"), "utf8"));
+});
--- /dev/null
+++ b/test/core.test.ts
@@ -0,0 +1,217 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import * as Duration from "effect/Duration";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { hopeless } from "../src/core/admission.js";
+import { Budget } from "../src/core/budget.js";
+import { Part } from "../src/core/part.js";
+import { RangeSet, windows } from "../src/core/ranges.js";
+import type { TermRecord, WorkerReport } from "../src/core/records.js";
+import { entitled, ownerOf, spansOf } from "../src/core/term.js";
+import { instant } from "../src/core/time.js";
+import { parseReport, parseSubmission } from "../src/io/codec.js";
+import { deliveredCodec, syncCodec } from "../src/io/peer-codec.js";
+import { TEAMS, TYPES } from "./model.js";
+
+test("a range set agrees with a plain set, whatever is added and taken out", () => {
+  const random = xoroshiro128plus(7);
+  for (let round = 0; round < 50; round++) {
+    const ranges = new RangeSet();
+    const plain = new Set<number>();
+    for (let i = 0; i < 60; i++) {
+      const from = uniformInt(random, 0, 80);
+      const to = from + uniformInt(random, 0, 6);
+      if (uniformInt(random, 0, 3) === 0) {
+        ranges.delete(from);
+        plain.delete(from);
+      } else {
+        ranges.add(from, to);
+        for (let n = from; n < to; n++) plain.add(n);
+      }
+      assert.deepEqual(
+        ranges.take(1000),
+        [...plain].sort((a, b) => a - b),
+      );
+      assert.equal(ranges.size, plain.size);
+      assert.equal(ranges.has(from), plain.has(from));
+    }
+  }
+});
+
+test("the windows of a ranges record fit its limit and lose nothing, even for every second of 100,000 tasks", () => {
+  const set = RangeSet.of(Array.from({ length: 50_000 }, (_, i) => [2 * i, 2 * i + 1] as const));
+  const parts = windows(set.ranges(), 3000);
+  for (const ranges of parts.values()) assert.ok(JSON.stringify({ ranges }).length <= 3000);
+  assert.deepEqual(RangeSet.of([...parts.values()].flat()).ranges(), set.ranges());
+});
+
+test("spans: fence < lease ttl, and fence + lease_s < cancel_s", () => {
+  for (const [leaseS, cancelS] of [
+    [34, 59],
+    [28, 53],
+    [10, 11],
+  ] as const) {
+    const ttl = Duration.seconds(3);
+    const spans = spansOf({ leaseS, reportS: 3, cancelS }, ttl);
+    assert.ok(Duration.lessThan(spans.fence, ttl));
+    assert.ok(Duration.toSeconds(spans.fence) + leaseS < cancelS);
+    assert.equal(entitled(spans, instant(0), instant(Duration.toMillis(spans.fence) - 1)), true);
+    assert.equal(entitled(spans, instant(0), instant(Duration.toMillis(spans.fence))), false);
+    assert.equal(entitled(spans, null, instant(0)), false);
+  }
+});
+
+const term: TermRecord = {
+  token: 4,
+  leader: "a",
+  members: [
+    { name: "a", incarnation: 1, zone: "east" },
+    { name: "b", incarnation: 2, zone: "west" },
+    { name: "c", incarnation: 3, zone: "east" },
+  ],
+};
+const report = (more: Partial<WorkerReport>): WorkerReport => ({
+  machine: "n-1",
+  addr: "x",
+  type: "small",
+  zone: "west",
+  spot: false,
+  session: 1,
+  seq: 1,
+  token: 4,
+  noticeS: null,
+  tasks: [],
+  ...more,
+});
+
+test("parts: same zone first, and only a lost member's machines move", () => {
+  const machines = Array.from({ length: 200 }, (_, i) => `n-${i}`);
+  const without = { ...term, members: term.members.filter((m) => m.name !== "c") };
+  const owners = new Map<string, number>();
+  for (const machine of machines) {
+    const owner = ownerOf(term, machine, "east")!.name;
+    owners.set(owner, (owners.get(owner) ?? 0) + 1);
+    assert.notEqual(owner, "b");
+    if (owner !== "c") assert.equal(ownerOf(without, machine, "east")!.name, owner);
+    assert.notEqual(ownerOf(term, machine, "north"), null);
+  }
+  assert.ok(Math.min(owners.get("a")!, owners.get("c")!) > 50);
+});
+
+test("a worker is sent to its part's member once, and taken in when it comes back", () => {
+  const part = new Part("a", 1000);
+  part.setTerm(term);
+  const at = (ms: number, entitledNow: boolean) =>
+    part.beat(report({ seq: ms }), entitledNow, 1, instant(ms));
+  assert.deepEqual(at(1, false), { kind: "unsure" });
+  assert.deepEqual(at(2, true), { kind: "elsewhere", member: "b" });
+  assert.deepEqual(at(3, true), { kind: "taken", token: 4 });
+  part.setTerm({ ...term, token: 5 });
+  assert.deepEqual(at(4, true), { kind: "elsewhere", member: "b" });
+  // another process of the same name is not that member
+  assert.deepEqual(part.beat(report({}), true, 9, instant(5)), { kind: "unsure" });
+});
+
+test("a finish is told to the leader only once it is stored, and told anew after a new term", () => {
+  const part = new Part("b", 1000);
+  part.setTerm(term);
+  const task = { job: "req-1", index: 3, attempt: 1, state: "exited", why: "done" } as const;
+  part.take(report({ tasks: [task] }));
+  assert.deepEqual(part.news().stored, []);
+  const [writing] = part.toStore("b.2", 8);
+  assert.deepEqual(
+    writing!.puts.map((p) => [p.key, p.ranges]),
+    [["ranges/req-1/b.2/0", [[3, 4]]]],
+  );
+  assert.deepEqual(part.toStore("b.2", 8), [], "a write under way is not repeated");
+  part.storeAnswered(writing!, "failed");
+  assert.deepEqual(part.news().stored, []);
+  part.storeAnswered(part.toStore("b.2", 8)[0]!, "stored");
+  assert.deepEqual(part.news().stored, [{ job: "req-1", ranges: [[3, 4]] }]);
+  assert.deepEqual(part.news().stored, []);
+  part.setTerm({ ...term, token: 5 });
+  assert.deepEqual(part.news().stored, [{ job: "req-1", ranges: [[3, 4]] }]);
+});
+
+test("a budget keeps its rate, and lets the urgent through", () => {
+  const budget = new Budget(10, 10);
+  let now = 0;
+  let taken = 0;
+  while (now < 10_000) {
+    const wait = Duration.toMillis(budget.take(instant(now)));
+    if (wait === 0) taken++;
+    else now += wait;
+  }
+  assert.ok(taken >= 100 && taken <= 111, `${taken}`);
+  budget.takeFirst(instant(now), 10);
+  assert.ok(Duration.toMillis(budget.take(instant(now))) > 900);
+  budget.refused(instant(now), Duration.seconds(5));
+  assert.ok(Duration.toMillis(budget.take(instant(now))) >= 5000);
+});
+
+const submission = {
+  ref: "req-000412",
+  roster: "train",
+  crew: "red",
+  shape: "ensemble",
+  urgency: "urgent",
+  chores: 4,
+  vcpus: 2,
+  gpus: null,
+  mem_gb: 4,
+  bundle: "img",
+  image_gb: 1,
+  apart: true,
+  due_s: 90,
+};
+
+test("submissions: null and omitted are the same, and the limits of teams and machines decide", () => {
+  const parsed = parseSubmission(JSON.stringify(submission));
+  assert.ok(typeof parsed !== "string");
+  assert.equal(parsed.spec.kind, "gang");
+  assert.equal(parsed.spec.gpus, 0);
+  assert.equal(Duration.toSeconds(parsed.spec.deadline!), 90);
+  const teams = new Map(TEAMS.map((t) => [t.name, t]));
+  const why = (more: object) => hopeless({ ...parsed.spec, ...more }, teams, TYPES);
+  assert.equal(why({}), null);
+  assert.match(why({ team: "green" })!, /no such team/);
+  assert.match(why({ cpus: 17 })!, /no allowed machine/);
+  assert.match(why({ cpus: 10, types: ["small"] })!, /no allowed machine/);
+  assert.match(why({ tasks: 13 })!, /limit/);
+  assert.equal(why({ tasks: 13, kind: "array" }), null);
+  assert.equal(why({ tasks: 13, team: "blue" }), null);
+});
+
+test("reports that are no reports are refused", () => {
+  for (const bad of [
+    null,
+    3,
+    {},
+    { hearth: "n", endpoint: "x", build: "b", district: "d", shift: 1.5, tally: 1 },
+  ])
+    assert.equal(parseReport(bad), null);
+});
+
+test("what controllers tell one another survives the wire", () => {
+  const r = report({
+    noticeS: 3.5,
+    tasks: [{ job: "req-1", index: 99_999, attempt: 4_000_000_001, state: "exited", why: "done" }],
+  });
+  const sync = {
+    token: 2 ** 40,
+    member: "a",
+    incarnation: 12,
+    mark: -1,
+    stateOk: true,
+    answered: [{ machine: "n-1", ageMs: 12.5 }],
+    reports: [r],
+    stored: [{ job: "req-1", ranges: [[0, 7] as const] }],
+  };
+  assert.deepEqual(
+    JSON.parse(JSON.stringify(syncCodec.decode(syncCodec.encode(sync)))),
+    JSON.parse(JSON.stringify(sync)),
+  );
+  const delivered = { outcome: "unknown" as const, report: null };
+  assert.equal(deliveredCodec.decode(deliveredCodec.encode(delivered)).outcome, "unknown");
+});
--- /dev/null
+++ b/test/service.test.ts
@@ -0,0 +1,174 @@
+/** One whole controller, as a process, against stand-ins for everything round it. */
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, test } from "node:test";
+import { CloudStandIn, StateStandIn } from "./standins.js";
+
+const MAIN = new URL("../../main.js", import.meta.url).pathname;
+
+const freePort = (): Promise<number> =>
+  new Promise((done) => {
+    const server = createServer();
+    server.listen(0, "127.0.0.1", () => {
+      const address = server.address();
+      server.close(() => done(typeof address === "object" && address !== null ? address.port : 0));
+    });
+  });
+
+const state = new StateStandIn();
+const cloud = new CloudStandIn(() => front);
+let front = "";
+let config = "";
+let child: ChildProcess | null = null;
+
+const start = (): void => {
+  child = spawn(process.execPath, [MAIN, "--config", config], {
+    stdio: ["ignore", "ignore", "inherit"],
+    env: { ...process.env, LOG_LEVEL: "error" },
+  });
+};
+const ask = async (
+  method: string,
+  path: string,
+  body?: unknown,
+): Promise<{ status: number; json: Record<string, unknown> }> => {
+  const response = await fetch(`http://${front}${path}`, {
+    method,
+    ...(body === undefined ? {} : { body: typeof body === "string" ? body : JSON.stringify(body) }),
+  });
+  return { status: response.status, json: (await response.json()) as Record<string, unknown> };
+};
+/** Repeats until the answer fits; how long that takes is nobody's business here. */
+const until = async (what: string, fits: () => Promise<boolean>): Promise<void> => {
+  for (let i = 0; i < 1200; i++) {
+    if (await fits().catch(() => false)) return;
+    await new Promise((done) => setTimeout(done, 50));
+  }
+  assert.fail(`never: ${what}`);
+};
+const job = (ref: string, more: object = {}): object => ({
+  ref,
+  roster: "maps",
+  crew: "red",
+  shape: "array",
+  urgency: "normal",
+  chores: 5,
+  vcpus: 1,
+  mem_gb: 1,
+  bundle: "img",
+  image_gb: 0.1,
+  loaners: true,
+  not_known: "ignored",
+  ...more,
+});
+
+before(async () => {
+  await state.start();
+  await cloud.start();
+  front = `127.0.0.1:${await freePort()}`;
+  config = join(mkdtempSync(join(tmpdir(), "indigowick-")), "config.json");
+  writeFileSync(
+    config,
+    JSON.stringify({
+      member: "one",
+      domain: "east",
+      front,
+      peer_bind: `127.0.0.1:${await freePort()}`,
+      seeds: [],
+      external: { cloud: cloud.addr, state: state.addr },
+      params: {
+        initial_size: 1,
+        zones: ["east"],
+        teams: [{ name: "red", cpus: 4, cpus_max: 8, gpus: 0, gpus_max: 0 }],
+        objectives: [],
+        workers: { report_s: 0.2, lease_s: 10, cancel_s: 30 },
+        state: { rps: 1000, write_rps: 1000, value_kb: 16, txn_ops: 16 },
+        cloud: { rps: 50, list_lag_s: 1 },
+        machine_limits: { core_share: 1, ram_mb: 200, max_connections: 500 },
+      },
+    }),
+  );
+  start();
+  await until("the node is up", async () => (await ask("GET", "/up")).status === 200);
+  // 503 until the machine types are known
+  await until(
+    "types are known",
+    async () => (await ask("POST", "/v2/runs", job("req-000001"))).status !== 503,
+  );
+});
+after(() => {
+  child?.kill("SIGKILL");
+  cloud.stop();
+  state.stop();
+});
+
+const done = (ref: string) =>
+  until(`${ref} done`, async () => (await ask("GET", `/v2/runs/${ref}`)).json["status"] === "done");
+
+test("a job is accepted, runs on rented machines, and stays done", async () => {
+  await done("req-000001");
+  const again = await ask("POST", "/v2/runs", job("req-000001"));
+  assert.deepEqual(again, { status: 200, json: { ref: "req-000001", status: "done" } });
+  const poll = await ask("GET", "/v2/runs/req-000001");
+  assert.deepEqual(poll.json, { ref: "req-000001", status: "done", done: 5, running: 0 });
+  assert.ok(state.rows.has("commit/req-000001"));
+  assert.ok(!state.rows.has("job/req-000001"));
+  assert.ok(![...state.rows.keys()].some((key) => key.startsWith("ranges/req-000001/")));
+});
+
+test("what is malformed gets 400, what can never run 422, what nobody submitted 404", async () => {
+  const bad: [unknown, number][] = [
+    ["{", 400],
+    ["[]", 400],
+    [job("run-1"), 400],
+    [job("req-000002", { chores: 0 }), 400],
+    [job("req-000002", { vcpus: undefined }), 400],
+    [job("req-000002", { shape: "circle" }), 400],
+    [job("req-000002", { bundle: "x".repeat(20_000) }), 400],
+    [job("req-000002", { bundle: "x".repeat(70_000) }), 400],
+    [job("req-000002", { crew: "green" }), 422],
+    [job("req-000002", { vcpus: 5 }), 422],
+    [job("req-000002", { district: "north" }), 422],
+    [job("req-000002", { shape: "daemon", vcpus: 2 }), 422],
+  ];
+  for (const [body, status] of bad)
+    assert.equal((await ask("POST", "/v2/runs", body)).status, status, JSON.stringify(body).slice(0, 200));
+  assert.equal((await ask("GET", "/v2/runs/req-000002")).status, 404);
+  assert.equal((await ask("POST", "/v2/runs/req-000002/cancel")).status, 404);
+  assert.equal((await ask("GET", "/v2/runs/nonsense")).status, 404);
+});
+
+test("a cancel ends a service for good, on every machine", async () => {
+  const service = job("req-000009", { shape: "daemon", urgency: "critical", chores: 1, loaners: null });
+  assert.equal((await ask("POST", "/v2/runs", service)).status, 201);
+  await until("it runs", async () => (await ask("GET", "/v2/runs/req-000009")).json["running"] === 1);
+  const answer = { status: 200, json: { ref: "req-000009", status: "aborted" } };
+  assert.deepEqual(await ask("POST", "/v2/runs/req-000009/cancel"), answer);
+  assert.deepEqual(await ask("POST", "/v2/runs/req-000009/cancel"), answer);
+  assert.deepEqual(await ask("POST", "/v2/runs", service), answer);
+  assert.equal((await ask("GET", "/v2/runs/req-000009")).json["status"], "aborted");
+  assert.deepEqual(await ask("POST", "/v2/runs/req-000001/cancel"), {
+    status: 200,
+    json: { ref: "req-000001", status: "done" },
+  });
+});
+
+test("while the state service is down users get 503 at once, and nothing older than they were told", async () => {
+  state.down = true;
+  assert.equal((await ask("POST", "/v2/runs", job("req-000003"))).status, 503);
+  assert.equal((await ask("GET", "/v2/runs/req-000004")).status, 503);
+  assert.equal((await ask("GET", "/v2/runs/req-000001")).json["status"], "done");
+  state.down = false;
+});
+
+test("a process that is killed comes back, takes over and finishes what was accepted", async () => {
+  assert.equal((await ask("POST", "/v2/runs", job("req-000010", { chores: 12 }))).status, 201);
+  child!.kill("SIGKILL");
+  start();
+  await done("req-000010");
+  await done("req-000010");
+});
--- /dev/null
+++ b/test/standins.ts
@@ -0,0 +1,296 @@
+/** Stand-ins for the outside systems, over real HTTP on loopback: state service, cloud, workers. */
+import http from "node:http";
+import type { AddressInfo } from "node:net";
+
+type Json = Record<string, unknown>;
+
+const body = async (request: http.IncomingMessage): Promise<Json> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  const text = Buffer.concat(chunks).toString("utf8");
+  return text === "" ? {} : (JSON.parse(text) as Json);
+};
+
+abstract class StandIn {
+  readonly server: http.Server;
+  addr = "";
+  constructor() {
+    this.server = http.createServer((request, response) => {
+      void this.handle(request).then(([status, value]) => {
+        const text = JSON.stringify(value);
+        response.writeHead(status, { "content-type": "application/json" }).end(text);
+      });
+    });
+  }
+  abstract handle(request: http.IncomingMessage): Promise<[number, unknown]>;
+  async start(): Promise<void> {
+    await new Promise<void>((done) => this.server.listen(0, "127.0.0.1", done));
+    this.addr = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+  stop(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+}
+
+export class StateStandIn extends StandIn {
+  readonly rows = new Map<string, { value: unknown; stamp: number; permit?: number }>();
+  readonly grants = new Map<number, { ttl: number; until: number }>();
+  private readonly changes: { key: string; value?: unknown; stamp: number }[] = [];
+  private readonly watchers = new Set<() => void>();
+  ledger = 0;
+  /** What the next requests are answered, in place of the truth. */
+  failing: { status: number; carriedOut: boolean }[] = [];
+  down = false;
+
+  private change(key: string, stamp: number, value?: unknown, permit?: number): void {
+    if (value === undefined) this.rows.delete(key);
+    else this.rows.set(key, { value, stamp, ...(permit === undefined ? {} : { permit }) });
+    this.changes.push(value === undefined ? { key, stamp } : { key, value, stamp });
+    for (const wake of this.watchers) wake();
+  }
+
+  private expire(): void {
+    const now = Date.now();
+    for (const [permit, grant] of this.grants)
+      if (now > grant.until) {
+        this.grants.delete(permit);
+        for (const [key, row] of this.rows) if (row.permit === permit) this.change(key, ++this.ledger);
+      }
+  }
+
+  async handle(request: http.IncomingMessage): Promise<[number, unknown]> {
+    const url = new URL(request.url ?? "", "http://state");
+    const sent = await body(request);
+    if (this.down) return [503, { error: "down" }];
+    const fail = this.failing.shift();
+    if (fail !== undefined) {
+      if (fail.carriedOut) this.serve(request.method ?? "", url, sent);
+      return [fail.status, {}];
+    }
+    if (url.pathname === "/watch") return this.watch(url);
+    return this.serve(request.method ?? "", url, sent);
+  }
+
+  private async watch(url: URL): Promise<[number, unknown]> {
+    const prefix = url.searchParams.get("under") ?? "";
+    const from = Number(url.searchParams.get("from"));
+    const until = Date.now() + Number(url.searchParams.get("wait_ms"));
+    for (;;) {
+      this.expire();
+      const news = this.changes.filter((c) => c.stamp > from && c.key.startsWith(prefix));
+      if (news.length > 0 || Date.now() >= until || this.down) {
+        const rows = news.map((c) =>
+          c.value === undefined
+            ? { delete: c.key, stamp: c.stamp }
+            : { write: c.key, value: c.value, stamp: c.stamp },
+        );
+        return [200, { ledger: this.ledger, news: rows }];
+      }
+      await new Promise<void>((done) => {
+        const wake = (): void => {
+          clearTimeout(timer);
+          this.watchers.delete(wake);
+          done();
+        };
+        const timer = setTimeout(wake, 50);
+        this.watchers.add(wake);
+      });
+    }
+  }
+
+  private serve(method: string, url: URL, sent: Json): [number, unknown] {
+    this.expire();
+    const path = url.pathname;
+    if (path === "/store") {
+      const prefix = url.searchParams.get("under") ?? "";
+      const from = url.searchParams.get("from") ?? "";
+      const rows = [...this.rows]
+        .filter(([key]) => key.startsWith(prefix) && key > from)
+        .sort(([a], [b]) => (a < b ? -1 : 1))
+        .map(([key, row]) => ({ path: key, value: row.value, stamp: row.stamp }));
+      // small pages, so that paging is met
+      return [200, { rows: rows.slice(0, 3), more: rows.length > 3, ledger: this.ledger }];
+    }
+    if (path.startsWith("/store/")) {
+      const key = path.slice("/store/".length);
+      const row = this.rows.get(key);
+      if (row === undefined) return [404, { ledger: this.ledger }];
+      return [200, { path: key, value: row.value, stamp: row.stamp }];
+    }
+    if (path === "/commit") return this.commit(sent);
+    if (path === "/grants") {
+      const permit = ++this.ledger;
+      const ttl = Number(sent["ttl_ms"]);
+      this.grants.set(permit, { ttl, until: Date.now() + ttl });
+      return [200, { permit }];
+    }
+    const [, , id, verb] = path.split("/");
+    const grant = this.grants.get(Number(id));
+    if (grant === undefined) return [404, {}];
+    if (verb === "extend") grant.until = Date.now() + grant.ttl;
+    else if (method === "DELETE") {
+      grant.until = 0;
+      this.expire();
+    }
+    return [200, {}];
+  }
+
+  private commit(sent: Json): [number, unknown] {
+    const when = (sent["when"] ?? []) as { path: string; stamp: number }[];
+    const apply = (sent["apply"] ?? []) as {
+      write?: string;
+      delete?: string;
+      value?: unknown;
+      permit?: number;
+    }[];
+    if (apply.some((c) => c.permit !== undefined && !this.grants.has(c.permit)))
+      return [400, { error: "no such lease" }];
+    const failed = when.filter((w) => (this.rows.get(w.path)?.stamp ?? 0) !== w.stamp).map((w) => w.path);
+    if (failed.length > 0) return [409, { failed, ledger: this.ledger }];
+    if (apply.length > 0) this.ledger++;
+    for (const c of apply) {
+      if (c.write !== undefined) this.change(c.write, this.ledger, c.value, c.permit);
+      else if (c.delete !== undefined && this.rows.has(c.delete)) this.change(c.delete, this.ledger);
+    }
+    return [200, { ledger: this.ledger }];
+  }
+}
+
+export class CloudStandIn extends StandIn {
+  private made = 0;
+  readonly rentals = new Map<string, string[]>();
+  readonly up = new Map<string, { worker: WorkerStandIn; build: string }>();
+  capacity = 4;
+
+  constructor(private readonly front: () => string) {
+    super();
+  }
+
+  async handle(request: http.IncomingMessage): Promise<[number, unknown]> {
+    const sent = await body(request);
+    const path = (request.url ?? "").split("?")[0];
+    if (path === "/flavors") {
+      const build = { label: "small", vcpus: 4, gpus: 0, mem_gb: 8, cache_gb: 10, pull_gb_per_s: 1 };
+      return [200, { builds: [{ ...build, rate: 1, spot_price: 0.3, startup_s: 1, districts: ["east"] }] }];
+    }
+    if (path === "/rentals/release") {
+      for (const id of sent["hearths"] as string[]) {
+        this.up.get(id)?.worker.stop();
+        this.up.delete(id);
+      }
+      return [200, {}];
+    }
+    if (request.method === "POST") {
+      const name = String(sent["rental"]);
+      const before = this.rentals.get(name);
+      if (before !== undefined) return [200, { hearths: before }];
+      const got: string[] = [];
+      while (got.length < Number(sent["how_many"]) && this.up.size < this.capacity) {
+        const id = `n-${String(++this.made).padStart(6, "0")}`;
+        const worker = new WorkerStandIn(id, Boolean(sent["loaners"]), this.front);
+        await worker.start();
+        worker.begin();
+        this.up.set(id, { worker, build: String(sent["build"]) });
+        got.push(id);
+      }
+      if (got.length === 0) return [503, { error: "no capacity" }];
+      this.rentals.set(name, got);
+      return [200, { hearths: got }];
+    }
+    const rows = [...this.up].map(([id, m]) => ({
+      ref: id,
+      endpoint: m.worker.addr,
+      build: m.build,
+      district: "east",
+      loaners: m.worker.spot,
+      status: "running",
+      held_s: 1,
+    }));
+    return [200, { hearths: rows, more: false }];
+  }
+
+  override stop(): void {
+    for (const { worker } of this.up.values()) worker.stop();
+    super.stop();
+  }
+}
+
+/** Runs any task for a moment; tasks of jobs whose id ends in 9 run until they are halted. */
+export class WorkerStandIn extends StandIn {
+  private tally = 0;
+  private baton = 0;
+  private readonly chores = new Map<string, { chore: string; try: number; status: string; cause?: string }>();
+  private timer: NodeJS.Timeout | null = null;
+  readonly starts: string[] = [];
+
+  constructor(
+    private readonly id: string,
+    readonly spot: boolean,
+    private readonly front: () => string,
+  ) {
+    super();
+  }
+
+  begin(): void {
+    this.timer = setInterval(() => void this.beat(), 100);
+  }
+  override stop(): void {
+    if (this.timer !== null) clearInterval(this.timer);
+    super.stop();
+  }
+
+  private report(): Json {
+    return {
+      hearth: this.id,
+      endpoint: this.addr,
+      build: "small",
+      district: "east",
+      loaners: this.spot,
+      shift: 1,
+      tally: ++this.tally,
+      baton: this.baton,
+      recall_s: null,
+      chores: [...this.chores.values()],
+    };
+  }
+
+  private async beat(): Promise<void> {
+    try {
+      const response = await fetch(`http://${this.front()}/agent/beat`, {
+        method: "POST",
+        body: JSON.stringify(this.report()),
+      });
+      if (response.status === 200)
+        this.baton = Math.max(this.baton, ((await response.json()) as { baton: number }).baton);
+    } catch {
+      // the node is down: try again
+    }
+  }
+
+  async handle(request: http.IncomingMessage): Promise<[number, unknown]> {
+    const sent = await body(request);
+    if (request.url !== "/orders") return [200, this.report()];
+    if (Number(sent["baton"]) < this.baton || sent["shift"] !== 1) return [409, this.report()];
+    this.baton = Number(sent["baton"]);
+    for (const o of sent["orders"] as { verb: string; chore: string; try: number }[]) {
+      const key = `${o.chore}#${o.try}`;
+      const chore = this.chores.get(key);
+      if (o.verb === "reap") this.chores.delete(key);
+      else if (o.verb === "halt" && chore !== undefined)
+        Object.assign(chore, { status: "ended", cause: "stopped" });
+      else if (o.verb === "start" && chore === undefined) {
+        this.starts.push(o.chore);
+        const started: { chore: string; try: number; status: string; cause?: string } = {
+          chore: o.chore,
+          try: o.try,
+          status: "running",
+        };
+        this.chores.set(key, started);
+        if (!o.chore.split("/")[0]!.endsWith("9"))
+          setTimeout(() => Object.assign(started, { status: "ended", cause: "done" }), 50);
+      }
+    }
+    return [200, this.report()];
+  }
+}
--- /dev/null
+++ b/test/state-client.test.ts
@@ -0,0 +1,65 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+import { StateClient } from "../src/io/state-client.js";
+import { StateStandIn } from "./standins.js";
+
+const standIn = new StateStandIn();
+let client: StateClient;
+const run = Effect.runPromise;
+const tagOf = <A, E extends { _tag: string }>(effect: Effect.Effect<A, E>): Promise<string> =>
+  run(Effect.match(effect, { onFailure: (e) => e._tag, onSuccess: () => "none" }));
+
+before(async () => {
+  await standIn.start();
+  client = new StateClient(standIn.addr, { rps: 1000, writeRps: 1000 }, 1);
+});
+after(() => standIn.stop());
+
+test("create-if-absent: the first wins for ever", async () => {
+  const create = (value: string) =>
+    client.commit([{ key: "commit/x", stamp: 0 }], [{ put: "commit/x", value }]);
+  const first = await run(create("a"));
+  assert.equal(first.ok, true);
+  assert.deepEqual(await run(create("b")), { ok: false, failed: ["commit/x"] });
+  assert.equal((await run(client.get("commit/x")))?.value, "a");
+  assert.equal(await run(client.get("commit/y")), null);
+});
+
+test("listing goes through all pages, and a watch from its revision misses nothing", async () => {
+  for (let i = 0; i < 8; i++) await run(client.commit([], [{ put: `page/${i}`, value: i }]));
+  const list = await run(client.list("page/"));
+  assert.deepEqual(
+    list.rows.map((r) => r.value),
+    [0, 1, 2, 3, 4, 5, 6, 7],
+  );
+  const watch = run(client.watch("page/", list.revision, Duration.seconds(5)));
+  await run(client.commit([], [{ delete: "page/3" }, { put: "page/9", value: 9 }]));
+  const events = (await watch).events.map((e) => [e.key, e.value]);
+  assert.deepEqual(events, [
+    ["page/3", undefined],
+    ["page/9", 9],
+  ]);
+});
+
+test("what was refused is told from what may have been carried out", async () => {
+  standIn.failing = [{ status: 503, carriedOut: false }];
+  assert.equal(await tagOf(client.commit([], [{ put: "a", value: 1 }])), "Unavailable");
+  standIn.failing = [{ status: 500, carriedOut: true }];
+  assert.equal(await tagOf(client.commit([], [{ put: "b", value: 1 }])), "Unanswered");
+  // resolved by rereading
+  assert.equal((await run(client.get("b")))?.value, 1);
+  const nobody = new StateClient("127.0.0.1:1", { rps: 10, writeRps: 10 }, 1);
+  assert.equal(await tagOf(nobody.get("a")), "Unavailable");
+});
+
+test("keys go with their lease", async () => {
+  const permit = await run(client.grant(Duration.seconds(60)));
+  await run(client.commit([], [{ put: "held", value: 1, permit }]));
+  assert.equal(await run(client.extend(permit, Duration.seconds(1))), true);
+  await run(client.revoke(permit));
+  assert.equal(await run(client.extend(permit, Duration.seconds(1))), false);
+  assert.equal(await run(client.get("held")), null);
+  assert.equal((await run(client.commit([], [{ put: "held", value: 1, permit }]))).ok, null);
+});
