--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -170,7 +170,18 @@
       if (result.ok === null) return problem(400, `can't be stored: ${result.error}`);
       if (result.ok === false) return yield* this.repeated(wire.ref);
       this.mirror.put(keys.job(wire.ref), wire, result.revision);
-      this.log.info({ job: wire.ref, class: wire.roster, team: wire.crew, tasks: wire.chores }, "accepted");
+      this.log.info(
+        {
+          job: wire.ref,
+          class: wire.roster,
+          team: wire.crew,
+          tasks: wire.chores,
+          estimateS: wire.expected_s,
+          image: wire.bundle,
+          imageGb: wire.image_gb,
+        },
+        "accepted",
+      );
       return answer(201, jobAnswer(wire.ref, "queued"));
     });
   }
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -11,6 +11,7 @@
   type RentalRecord,
   type Team,
   type TermRecord,
+  type WorkerReport,
 } from "../core/records.js";
 import { type Decision, Scheduler } from "../core/scheduler.js";
 import type { Spans } from "../core/term.js";
@@ -39,6 +40,9 @@
 
 const STEP_EVERY = Duration.millis(250);
 
+const describe = (r: WorkerReport): string =>
+  r.tasks.map((t) => `${t.job}/${t.index} ${t.state}${t.why === null ? "" : ` ${t.why}`}`).join(", ");
+
 export class Leader {
   private guarded: Guarded<Scheduler> | null = null;
   /** Jobs written up to this revision are in what was reread; later ones come from the mirror. */
@@ -100,7 +104,11 @@
     }
     const at = now();
     return scheduler.with((s) => {
-      for (const r of m.reports) s.report(r, m.member, at);
+      for (const r of m.reports) {
+        s.report(r, m.member, at);
+        if (this.log.isLevelEnabled("debug"))
+          this.log.debug({ machine: r.machine, tasks: describe(r) }, "report");
+      }
       for (const { job, ranges } of m.stored) s.stored(job, ranges);
       s.vouched(
         m.member,
