--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -64,10 +64,15 @@
   failed: boolean;
   releasing: Instant | null;
   idleSince: Instant | null;
-  errors: number;
+  /** Tasks that failed here since one last completed, by job. */
+  readonly blame: Map<string, number>;
   setAside: Instant | null;
+  /** Its replicas are being moved to other machines, so that it can be returned. */
+  draining: boolean;
   inFlight: boolean;
   probedAt: Instant | null;
+  /** Questions without an answer since the last report. */
+  unanswered: number;
   readonly used: { cpus: number; gpus: number; memoryGb: number };
   readonly holds: Map<string, Hold>;
   readonly images: Map<string, number>;
@@ -123,10 +128,12 @@
   failed: false,
   releasing: null,
   idleSince: null,
-  errors: 0,
+  blame: new Map(),
   setAside: null,
+  draining: false,
   inFlight: false,
   probedAt: null,
+  unanswered: 0,
   used: { cpus: 0, gpus: 0, memoryGb: 0 },
   holds: new Map(),
   images: new Map(),
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -145,7 +145,7 @@
 
   /** Work that is likely to arrive within `warmFor`, from what arrived lately. */
   private expected(now: Instant): { spec: JobSpec; tasks: number }[] {
-    const window = Duration.minutes(2);
+    const window = Duration.seconds(45);
     this.arrivals = this.arrivals.filter((a) => !passed(now, a.at, window));
     const byClass = new Map<string, { spec: JobSpec; tasks: number }>();
     for (const { spec } of this.arrivals) {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -46,6 +46,7 @@
   m.releasing === null &&
   m.noticeUntil === null &&
   m.setAside === null &&
+  !m.draining &&
   m.cpus > 0 &&
   m.addr !== null &&
   m.heard !== null &&
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -62,6 +62,7 @@
 
 const MAX_STARTS_PER_STEP = 400;
 const HOPELESS_AFTER = 3;
+const GANG_PATIENCE = Duration.seconds(15);
 
 export class Scheduler {
   readonly cluster: Cluster = newCluster();
@@ -72,6 +73,7 @@
   private types: readonly MachineType[] = [];
   private typeByName = new Map<string, MachineType>();
   private attempts = 0;
+  private guaranteed: ReadonlySet<Job> = new Set();
   private released = new Set<string>();
   private listedOnce = false;
   private doubtsSince: Instant | null = null;
@@ -264,6 +266,7 @@
     m.addr = r.addr;
     m.via = via;
     m.heard = now;
+    m.unanswered = 0;
     if (r.noticeS !== null) m.noticeUntil ??= plus(now, Duration.seconds(r.noticeS));
     else m.noticeUntil = null;
     const complete = r.token >= this.term.token;
@@ -333,23 +336,36 @@
     }
     if (hold.why === "done") {
       this.seenImage(m, hold.spec);
-      m.errors = 0;
-    }
-    if (hold.why === "error") {
-      if (job !== undefined) {
-        job.errorsOn.set(m.id, now);
-        // a job that fails on several machines is probably hopeless: try it ever more seldom
-        if (job.errorsOn.size >= HOPELESS_AFTER)
-          job.retryAt = plus(now, Duration.seconds(Math.min(60, 2 ** job.errorsOn.size)));
+      m.blame.clear();
+      m.setAside = null;
+    }
+    if (hold.why === "error" && job !== undefined) {
+      job.errorsOn.set(m.id, now);
+      m.blame.set(hold.job, (m.blame.get(hold.job) ?? 0) + 1);
+      if (suspect(job)) {
+        // probably the job is at fault: it is tried ever more seldom, and the machines it failed on are cleared
+        job.retryAt = plus(now, Duration.seconds(Math.min(60, 2 ** job.errorsOn.size)));
+        for (const id of job.errorsOn.keys()) {
+          const other = this.cluster.machines.get(id);
+          if (other !== undefined && !this.faulty(other)) other.setAside = null;
+        }
       }
-      // a job that already failed elsewhere says little about this machine
-      if (job === undefined || job.errorsOn.size < HOPELESS_AFTER) m.errors++;
-      if (m.errors >= 2 && m.setAside === null) m.setAside = now;
+      if (m.setAside === null && this.faulty(m)) m.setAside = now;
     }
     if (hold.why === "no_room" && job !== undefined) job.errorsOn.set(m.id, plus(now, Duration.seconds(-55)));
     if (hold.why === "unknown" && job !== undefined) job.retryAt = plus(now, Duration.seconds(2));
   }
 
+  /** Several failures that aren't the fault of a job that fails wherever it runs. */
+  private faulty(m: Machine): boolean {
+    let failures = 0;
+    for (const [id, count] of m.blame) {
+      const job = this.cluster.jobs.get(id);
+      if (job === undefined || !suspect(job)) failures += count;
+    }
+    return failures >= 2;
+  }
+
   /** A member's word on its part: which workers it answered, and when at the latest. */
   vouched(
     member: string,
@@ -366,7 +382,10 @@
       const before = vouch.answered.get(machine);
       if (before === undefined || at > before) vouch.answered.set(machine, at);
       const m = this.cluster.machines.get(machine);
-      if (m !== undefined && m.heard !== null && at > m.heard) m.heard = at;
+      if (m !== undefined && m.heard !== null && at > m.heard) {
+        m.heard = at;
+        m.unanswered = 0;
+      }
     }
   }
 
@@ -374,6 +393,7 @@
     const m = this.cluster.machines.get(machine);
     if (m === undefined) return;
     if (token === this.term.token) m.inFlight = false;
+    if (token > 0 && (outcome === "unknown" || outcome === "unsent")) m.unanswered++;
     for (const order of orders) {
       const hold = m.holds.get(holdKey(order.job, order.index, order.attempt));
       if (hold === undefined) continue;
@@ -429,6 +449,8 @@
   private cleanUp(now: Instant, orders: Map<string, Order[]>): void {
     for (const m of this.cluster.machines.values()) {
       if (m.inFlight || !m.confirmed || m.addr === null) continue;
+      if (m.noticeUntil !== null) this.evacuate(m, now, orders);
+      let moving = [...m.holds.values()].some((h) => h.stopping);
       for (const hold of m.holds.values()) {
         if (hold.state === "ordered") continue;
         const job = this.cluster.jobs.get(hold.job);
@@ -444,6 +466,11 @@
           (job.holds.get(hold.index) ?? []).some(
             (h) => h !== hold && occupies(h) && h.attempt < hold.attempt,
           );
+        if (m.draining && !moving && movable(hold, now)) {
+          moving = true;
+          stopTask(hold, orders);
+          continue;
+        }
         const over = job === undefined || job.done.has(hold.index) || twin;
         if (over && !(hold.stopping && !passed(now, hold.since, Duration.seconds(3)))) {
           hold.stopping = true;
@@ -483,18 +510,28 @@
     const jobs = [...this.cluster.jobs.values()].filter(
       (j) => j.pending.size > 0 && (j.retryAt === null || now >= j.retryAt),
     );
-    const guaranteed = new Map(jobs.map((j) => [j, this.withinGuarantee(j) ? 1 : 0]));
+    this.guaranteed = this.guaranteedJobs();
+    const first = (j: Job): number => (this.guaranteed.has(j) ? 1 : 0);
     return jobs.sort(
-      (a, b) =>
-        RANK[b.spec.priority] - RANK[a.spec.priority] ||
-        guaranteed.get(b)! - guaranteed.get(a)! ||
-        a.stamp - b.stamp,
+      (a, b) => RANK[b.spec.priority] - RANK[a.spec.priority] || first(b) - first(a) || a.stamp - b.stamp,
     );
   }
 
-  private withinGuarantee(job: Job): boolean {
-    const team = this.options.teams.get(job.spec.team);
-    return team !== undefined && fitsGuarantee(team, this.usageOf(job.spec.team), job.spec, 1);
+  /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
+  private guaranteedJobs(): Set<Job> {
+    const out = new Set<Job>();
+    const used = new Map<string, Usage>();
+    for (const job of [...this.cluster.jobs.values()].sort((a, b) => a.stamp - b.stamp)) {
+      const { spec } = job;
+      const team = this.options.teams.get(spec.team);
+      if (team === undefined || (team.cpus <= 0 && team.gpus <= 0)) continue;
+      const usage = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
+      used.set(spec.team, usage);
+      if (fitsGuarantee(team, usage, spec, spec.tasks)) out.add(job);
+      usage.cpus += spec.cpus * spec.tasks;
+      usage.gpus += spec.gpus * spec.tasks;
+    }
+    return out;
   }
 
   private place(now: Instant, orders: Map<string, Order[]>, out: Decision[]): void {
@@ -509,20 +546,27 @@
     for (const m of candidates) parts.set(m.via, (parts.get(m.via) ?? 0) + m.cpus - m.used.cpus);
     const partRoom = (via: string | null) => parts.get(via) ?? 0;
     let budget = MAX_STARTS_PER_STEP;
+    let heldBack = -1;
     for (const job of this.queue(now)) {
       if (budget <= 0) break;
+      if (RANK[job.spec.priority] <= heldBack && !this.guaranteed.has(job)) continue;
       const { spec } = job;
       const team = this.options.teams.get(spec.team);
       if (team === undefined || silent.some((m) => this.mayHold(m, job))) continue;
       if (spec.kind === "gang") {
-        budget -= this.placeGang(job, team, candidates, unknown, now, orders, partRoom);
+        const placed = this.placeGang(job, team, candidates, unknown, now, orders, partRoom);
+        budget -= placed;
+        // smaller jobs would take every place that gets free: after a while they are held back for the gang
+        if (placed === 0 && passed(now, job.seen, GANG_PATIENCE) && this.couldHold(job, candidates))
+          heldBack = RANK[spec.priority];
         continue;
       }
       const room = roomInLimit(team, this.worstUsage(spec.team, unknown), spec);
-      for (const index of job.pending.take(Math.min(budget, room))) {
+      // a job that fails everywhere is tried one task at a time
+      for (const index of job.pending.take(Math.min(budget, room, suspect(job) ? 1 : Infinity))) {
         const m = choose(this.cluster, job, candidates, now, partRoom);
         if (m === null) {
-          this.makeRoom(job, team, candidates, now, orders, out);
+          this.makeRoom(job, candidates, now, orders, out);
           break;
         }
         parts.set(m.via, partRoom(m.via) - spec.cpus);
@@ -532,6 +576,17 @@
     }
   }
 
+  /** Whether the machines there are could hold a whole gang if they were empty. */
+  private couldHold(job: Job, candidates: readonly Machine[]): boolean {
+    const zones = new Map<string, number>();
+    for (const m of candidates) {
+      if (!allowed(job.spec, m)) continue;
+      const zone = job.spec.oneZone ? m.zone : "";
+      zones.set(zone, (zones.get(zone) ?? 0) + slots(job.spec, m));
+    }
+    return [...zones.values()].some((n) => n >= job.spec.tasks);
+  }
+
   private start(
     job: Job,
     index: number,
@@ -570,21 +625,7 @@
     partRoom: (via: string | null) => number,
   ): number {
     const { spec } = job;
-    const live = [...job.holds.values()].flat().filter(occupies);
-    if (live.length > 0) {
-      for (const hold of live)
-        if (hold.state !== "ordered" && hold.doubt === null && !hold.stopping) {
-          hold.stopping = true;
-          push(orders, hold.machine, {
-            op: "stop",
-            job: hold.job,
-            index: hold.index,
-            attempt: hold.attempt,
-            graceS: Duration.toSeconds(spec.save),
-          });
-        }
-      return 0;
-    }
+    if (this.stopGang(job, orders) > 0) return 0;
     if (job.pending.size < spec.tasks) return 0;
     if (!fitsLimit(team, this.worstUsage(spec.team, unknown), spec, spec.tasks)) return 0;
     const zones = spec.oneZone ? [...new Set(candidates.map((m) => m.zone))] : [null];
@@ -610,9 +651,33 @@
     return 0;
   }
 
+  /** Takes a gang down with time to save, all tasks at once; says how many are still there. */
+  private stopGang(job: Job, orders: Map<string, Order[]>): number {
+    const live = [...job.holds.values()].flat().filter(occupies);
+    for (const hold of live) if (hold.state !== "ordered" && !hold.stopping) stopTask(hold, orders);
+    return live.length;
+  }
+
+  /** A machine that the cloud takes back soon: what can save does so, replicas move if there is room. */
+  private evacuate(m: Machine, now: Instant, orders: Map<string, Order[]>): void {
+    for (const hold of m.holds.values()) {
+      const { spec } = hold;
+      const job = this.cluster.jobs.get(hold.job);
+      if (spec === null || job === undefined || hold.state !== "running" || hold.stopping) continue;
+      const saves =
+        Duration.toMillis(spec.checkpoint) > 0 && m.noticeUntil! - now >= Duration.toMillis(spec.save);
+      if (spec.kind === "gang") {
+        if (saves) this.stopGang(job, orders);
+        continue;
+      }
+      const ready = (): Machine[] => [...this.cluster.machines.values()].filter((x) => this.usable(x, now));
+      if (saves || (spec.kind === "service" && choose(this.cluster, job, ready(), now, () => 0) !== null))
+        stopTask(hold, orders);
+    }
+  }
+
   private makeRoom(
     job: Job,
-    team: Team,
     candidates: readonly Machine[],
     now: Instant,
     orders: Map<string, Order[]>,
@@ -622,7 +687,7 @@
     const making = this.makingRoom.get(id);
     if (making !== undefined && now < making.until) return;
     const rank = RANK[job.spec.priority];
-    const guaranteed = fitsGuarantee(team, this.usageOf(job.spec.team), job.spec, 1) && team.cpus > 0;
+    const guaranteed = this.guaranteed.has(job);
     const mayStop = (hold: Hold): boolean => {
       const spec = hold.spec!;
       if (spec.kind === "gang") return false;
@@ -637,16 +702,7 @@
     };
     const found = victims(this.cluster, job, candidates, now, mayStop);
     if (found === null) return;
-    for (const hold of found.holds) {
-      hold.stopping = true;
-      push(orders, found.machine.id, {
-        op: "stop",
-        job: hold.job,
-        index: hold.index,
-        attempt: hold.attempt,
-        graceS: Duration.toSeconds(hold.spec!.save),
-      });
-    }
+    for (const hold of found.holds) stopTask(hold, orders);
     this.makingRoom.set(id, { until: plus(now, Duration.millis(300)), tasks: 1 });
     out.push({
       kind: "note",
@@ -680,8 +736,12 @@
   private send(now: Instant, orders: Map<string, Order[]>, out: Decision[]): void {
     const probeAfter = this.fresh();
     for (const m of this.cluster.machines.values()) {
-      if (m.addr === null || m.inFlight) continue;
       let list = orders.get(m.id);
+      if (m.addr === null || m.inFlight) {
+        // one batch at a time: what can't go out now is decided again
+        if (list !== undefined) this.ordersAnswered(m.id, list, 0, "unsent");
+        continue;
+      }
       if (list === undefined) {
         // unconfirmed or silent machines are asked directly, without orders: the answer is their picture
         // a machine that never reported is asked only if an earlier leader may have started something on it
@@ -771,6 +831,7 @@
       for (const id of machines) this.cluster.machines.get(id)!.releasing = now;
       out.push({ kind: "release", machines: machines.slice(0, 100), why });
     }
+    this.consolidate(now);
     if (!this.listedOnce) return out;
     const queue: { job: Job; tasks: number }[] = [];
     for (const job of this.queue(now)) {
@@ -784,6 +845,62 @@
     return out;
   }
 
+  /**
+   * Replicas run for long, and a few of them keep a large machine from being returned. While nothing waits, the
+   * machine that costs the most for the least is drained, if all its replicas fit beside other running work where
+   * their image is cached already: the gap is then a stop and a start.
+   */
+  private consolidate(now: Instant): void {
+    const machines = [...this.cluster.machines.values()];
+    const waiting = [...this.cluster.jobs.values()].some(
+      (j) => j.pending.size > 0 && j.spec.kind !== "service",
+    );
+    const draining = machines.find((m) => m.draining);
+    if (waiting) {
+      if (draining !== undefined) draining.draining = false;
+      return;
+    }
+    if (draining !== undefined) return;
+    const ready = machines.filter((m) => this.usable(m, now));
+    const price = (m: Machine): number => {
+      const type = this.typeByName.get(m.type);
+      return type === undefined ? 0 : m.spot ? type.spotPrice : type.price;
+    };
+    const wasted = (m: Machine): number => price(m) * (1 - m.used.cpus / m.cpus);
+    const candidates = ready
+      .filter(
+        (m) =>
+          m.holds.size > 0 &&
+          m.used.cpus <= m.cpus / 2 &&
+          [...m.holds.values()].every((h) => movable(h, now)),
+      )
+      .sort((a, b) => wasted(b) - wasted(a));
+    for (const m of candidates) {
+      const others = ready.filter((x) => x !== m && x.holds.size > 0).map((x) => ({ x, room: freeRoom(x) }));
+      const fit = [...m.holds.values()].every((hold) => {
+        const spec = hold.spec!;
+        const job = this.cluster.jobs.get(hold.job);
+        const to = others.find(
+          ({ x, room }) =>
+            x.images.has(spec.image) &&
+            allowed(spec, x) &&
+            slots(spec, room) > 0 &&
+            job !== undefined &&
+            !spec.oneZone &&
+            !spec.spread,
+        );
+        if (to === undefined) return false;
+        to.room.cpus -= spec.cpus;
+        to.room.gpus -= spec.gpus;
+        to.room.memoryGb -= spec.memoryGb;
+        return true;
+      });
+      if (!fit) continue;
+      m.draining = true;
+      return;
+    }
+  }
+
   private releaseReason(m: Machine, now: Instant): string | null {
     if (m.releasing !== null) return "repeat";
     if (m.failed) return "failed";
@@ -796,13 +913,17 @@
       return passed(now, since, patience) ? (m.confirmed ? "never came up" : "silent since take-over") : null;
     }
     const silentFor = Math.min(now - m.heard, now - this.termBegan);
-    if (silentFor > 0 && passed(now, m.heard, Duration.seconds(10))) {
+    if (silentFor > 0 && passed(now, m.heard, this.fresh())) {
       const all = [...this.cluster.machines.values()].filter((x) => x.heard !== null);
       const silent = all.filter((x) => passed(now, x.heard!, this.fresh())).length;
-      // many at once look like a cut of ours, not like dead machines
-      const patience = silent <= Math.max(2, all.length * 0.25) ? 10_000 : 40_000;
+      // many at once, or a part whose member is silent too, look like a cut of ours, not like dead machines
+      const lastWord = m.via === null ? undefined : this.vouches.get(m.via)?.asOf;
+      const cut = lastWord === undefined || lastWord === null || passed(now, lastWord, Duration.seconds(4));
+      const lonely = silent <= Math.max(2, all.length * 0.25) && !cut;
+      const patience = !lonely ? 40_000 : m.unanswered >= 2 ? 7000 : 10_000;
       if (silentFor >= patience) return "silent";
     }
+    if (m.draining && m.holds.size === 0 && !m.inFlight) return "drained";
     if (m.setAside !== null) {
       const live = [...m.holds.values()].some((h) => occupies(h));
       if (!live) return "fails tasks";
@@ -819,6 +940,25 @@
   }
 }
 
+/** A job that failed on several machines and completed nowhere. */
+const suspect = (job: Job): boolean => job.errorsOn.size >= HOPELESS_AFTER && job.done.size === 0;
+
+/** Tells a task to stop, with the time that it needs to save. */
+const stopTask = (hold: Hold, orders: Map<string, Order[]>): void => {
+  hold.stopping = true;
+  const { job, index, attempt } = hold;
+  const graceS = hold.spec === null ? 0 : Duration.toSeconds(hold.spec.save);
+  push(orders, hold.machine, { op: "stop", job, index, attempt, graceS });
+};
+
+/** A replica that has run long enough for its start to count, and that nobody is stopping. */
+const movable = (h: Hold, now: Instant): boolean =>
+  h.spec?.kind === "service" &&
+  h.state === "running" &&
+  !h.stopping &&
+  h.doubt === null &&
+  passed(now, h.since, Duration.seconds(35));
+
 /** A task whose job record is gone: what it takes of its machine and of its team's limit isn't known. */
 const hasStray = (m: Machine): boolean => {
   for (const hold of m.holds.values()) if (hold.spec === null && occupies(hold)) return true;
--- a/src/io/schemas.ts
+++ b/src/io/schemas.ts
@@ -69,7 +69,7 @@
       type: "number",
       minimum: 0,
       maximum: 3600,
-      default: 30,
+      default: 8,
       description: "How long a machine stands idle before it is returned.",
     },
     warm_s: {
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -298,7 +298,13 @@
           ),
         );
       // the part's member can't be reached, or didn't send: this node sends by itself
-      if (result === null || result.outcome === "unsent") result = yield* this.member.deliver(deliver);
+      // and a question without orders may be asked twice
+      if (
+        result === null ||
+        result.outcome === "unsent" ||
+        (result.outcome === "unknown" && d.orders.length === 0)
+      )
+        result = yield* this.member.deliver(deliver);
       const { outcome, report } = result;
       if (outcome !== "done")
         this.log.info(
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -36,7 +36,7 @@
 for (const [guard, rule] of GUARDS)
   test(`the checker notices when the guard "${guard}" is taken out`, () => {
     const rules = new Set<string>();
-    for (const seed of SEEDS) {
+    for (let seed = 1000; seed < 1100; seed++) {
       for (const b of new World(seed, guard, 2).run(180_000).broken) rules.add(b.rule);
       if (rules.has(rule)) return;
     }
--- /dev/null
+++ b/test/scheduler.test.ts
@@ -0,0 +1,255 @@
+/** Scenarios of the leader's scheduler, step by step. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import * as Duration from "effect/Duration";
+import type { JobSpec, Order, TaskReport, WorkerReport } from "../src/core/records.js";
+import { type Decision, Scheduler } from "../src/core/scheduler.js";
+import { instant } from "../src/core/time.js";
+import { SPANS, TEAMS, TYPES } from "./model.js";
+
+const spec = (more: Partial<JobSpec>): JobSpec => ({
+  id: "req-000001",
+  className: "maps",
+  team: "blue",
+  kind: "array",
+  priority: "normal",
+  tasks: 1,
+  cpus: 4,
+  gpus: 0,
+  memoryGb: 2,
+  image: "img",
+  imageGb: 1,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: true,
+  estimate: Duration.seconds(30),
+  checkpoint: Duration.zero,
+  save: Duration.zero,
+  deadline: null,
+  ...more,
+});
+
+/** A scheduler with small machines (8 processors each) that execute and report at once. */
+class Scene {
+  now = 1000;
+  readonly s: Scheduler;
+  readonly tasks = new Map<string, Map<string, TaskReport>>();
+  readonly sent: { machine: string; order: Order }[] = [];
+  private seq = 0;
+
+  constructor(machines: readonly { id: string; zone: string }[]) {
+    const term = { token: 1, leader: "a", members: [{ name: "a", incarnation: 1, zone: "east" }] };
+    this.s = new Scheduler(
+      {
+        spans: SPANS,
+        teams: new Map(TEAMS.map((t) => [t.name, t])),
+        fleet: { reuse: 0.5, idleFor: Duration.seconds(5), warmFor: Duration.zero },
+      },
+      term,
+      10,
+      instant(0),
+    );
+    this.s.setTypes(TYPES);
+    for (const { id, zone } of machines) {
+      this.s.recorded(id, { type: "small", zone, spot: false, addr: id }, instant(0));
+      this.tasks.set(id, new Map());
+      this.report(id, zone);
+    }
+  }
+
+  report(id: string, zone = this.s.cluster.machines.get(id)!.zone, more: Partial<WorkerReport> = {}): void {
+    const r: WorkerReport = {
+      machine: id,
+      addr: id,
+      type: "small",
+      zone,
+      spot: false,
+      session: 1,
+      seq: ++this.seq,
+      token: 1,
+      noticeS: null,
+      tasks: [...this.tasks.get(id)!.values()],
+      ...more,
+    };
+    this.s.report(r, "a", instant(this.now));
+  }
+
+  /** Everything reports, and the decisions are carried out; `late` machines don't answer orders. */
+  step(late: readonly string[] = []): Decision[] {
+    this.now += 500;
+    for (const id of this.tasks.keys()) if (this.s.cluster.machines.has(id)) this.report(id);
+    const decisions = this.s.step(instant(this.now));
+    for (const d of decisions) {
+      if (d.kind !== "orders") continue;
+      for (const order of d.orders) this.sent.push({ machine: d.machine, order });
+      if (late.includes(d.machine)) {
+        this.s.ordersAnswered(d.machine, d.orders, 1, "unknown");
+        continue;
+      }
+      for (const o of d.orders) this.execute(d.machine, o);
+      this.report(d.machine);
+      this.s.ordersAnswered(d.machine, d.orders, 1, "done");
+    }
+    return decisions;
+  }
+
+  private execute(machine: string, o: Order): void {
+    const tasks = this.tasks.get(machine)!;
+    const key = `${o.job}/${o.index}#${o.attempt}`;
+    const base = { job: o.job, index: o.index, attempt: o.attempt };
+    if (o.op === "forget") tasks.delete(key);
+    else if (o.op === "stop") tasks.set(key, { ...base, state: "exited", why: "stopped" });
+    else tasks.set(key, { ...base, state: "running", why: null });
+  }
+
+  end(machine: string, why: "done" | "error"): void {
+    for (const [key, t] of this.tasks.get(machine)!)
+      this.tasks.get(machine)!.set(key, { ...t, state: "exited", why });
+  }
+  live(): TaskReport[] {
+    return [...this.tasks.values()].flatMap((m) => [...m.values()]).filter((t) => t.state !== "exited");
+  }
+  ops(op: Order["op"]): number {
+    return this.sent.filter((x) => x.order.op === op).length;
+  }
+}
+const EAST = ["n-1", "n-2", "n-3"].map((id) => ({ id, zone: "east" }));
+
+test("a gang starts whole, with one attempt, and after a loss is taken down whole before the next", () => {
+  const scene = new Scene(EAST);
+  const gang = spec({ kind: "gang", tasks: 4, save: Duration.seconds(5), checkpoint: Duration.seconds(10) });
+  scene.s.jobSeen(gang, 20, instant(0));
+  scene.step();
+  const first = new Set(scene.live().map((t) => t.attempt));
+  assert.equal(scene.live().length, 4);
+  assert.equal(first.size, 1);
+  // one machine is gone for certain: its tasks with it
+  const lost = scene.sent[0]!.machine;
+  scene.tasks.get(lost)!.clear();
+  scene.s.releaseAnswered([lost], true, instant(scene.now));
+  scene.step();
+  assert.ok(scene.ops("stop") > 0);
+  assert.ok(scene.sent.filter((x) => x.order.op === "stop").every((x) => x.order.graceS >= 5));
+  for (let i = 0; i < 4; i++) scene.step();
+  const second = new Set(scene.live().map((t) => t.attempt));
+  assert.equal(scene.live().length, 4);
+  assert.equal(second.size, 1);
+  assert.notDeepEqual(first, second);
+});
+
+test("a gang that doesn't fit takes no place, and is not starved by smaller jobs", () => {
+  const scene = new Scene(EAST);
+  scene.s.jobSeen(spec({ id: "req-000001", tasks: 6, image: "x" }), 20, instant(0));
+  scene.step();
+  assert.equal(scene.live().length, 6);
+  scene.s.jobSeen(spec({ id: "req-000002", kind: "gang", tasks: 6 }), 21, instant(scene.now));
+  for (let i = 0; i < 40; i++) scene.step();
+  scene.s.jobSeen(spec({ id: "req-000003", tasks: 6 }), 22, instant(scene.now));
+  for (const { id } of EAST) {
+    scene.end(id, "done");
+    scene.step();
+    scene.s.stored("req-000001", [[0, 6]]);
+    scene.step();
+  }
+  scene.step();
+  const starts = scene.sent.filter((x) => x.order.op === "start").map((x) => x.order.job);
+  assert.deepEqual(new Set(starts.slice(0, 6)), new Set(["req-000001"]));
+  assert.deepEqual(new Set(starts.slice(6, 12)), new Set(["req-000002"]));
+});
+
+test("together keeps a job in one zone, apart puts at most half of it into one", () => {
+  const both = [...EAST, { id: "n-4", zone: "west" }, { id: "n-5", zone: "west" }];
+  const zoneOf = new Map(both.map((m) => [m.id, m.zone]));
+  const zones = (scene: Scene, job: string): string[] =>
+    scene.sent
+      .filter((x) => x.order.job === job && x.order.op === "start")
+      .map((x) => zoneOf.get(x.machine)!);
+  const one = new Scene(both);
+  one.s.jobSeen(spec({ oneZone: true, tasks: 9 }), 20, instant(0));
+  for (let i = 0; i < 5; i++) one.step();
+  assert.equal(new Set(zones(one, "req-000001")).size, 1);
+  const two = new Scene(both);
+  two.s.jobSeen(spec({ spread: true, tasks: 5, cpus: 1 }), 20, instant(0));
+  for (let i = 0; i < 5; i++) two.step();
+  const started = zones(two, "req-000001");
+  assert.equal(started.length, 5);
+  for (const zone of ["east", "west"]) assert.ok(started.filter((z) => z === zone).length <= 3);
+});
+
+test("an unanswered start is neither repeated elsewhere nor reaped until a higher token settles it", () => {
+  const scene = new Scene([{ id: "n-1", zone: "east" }]);
+  scene.s.jobSeen(spec({}), 20, instant(0));
+  scene.step(["n-1"]);
+  scene.s.recorded("n-2", { type: "small", zone: "east", spot: false, addr: "n-2" }, instant(scene.now));
+  scene.tasks.set("n-2", new Map());
+  const later: Decision[] = [];
+  for (let i = 0; i < 16; i++) later.push(...scene.step());
+  assert.equal(scene.ops("start"), 1);
+  assert.ok(later.some((d) => d.kind === "newTerm"));
+  scene.s.renewTerm({ ...scene.s.term, token: 2 }, instant(scene.now));
+  scene.now += 100;
+  // it has seen the higher token and doesn't have the task: a late start would be refused
+  scene.report("n-1", "east", { token: 2 });
+  scene.report("n-2", "east", { token: 2 });
+  const starts = scene.s.step(instant(scene.now)).flatMap((d) => (d.kind === "orders" ? d.orders : []));
+  assert.deepEqual(
+    starts.map((o) => [o.op, o.job]),
+    [["start", "req-000001"]],
+  );
+});
+
+test("a machine that fails every task is set aside; a job that fails everywhere sets none aside", () => {
+  const sick = new Scene(EAST);
+  sick.s.jobSeen(spec({ tasks: 6 }), 20, instant(0));
+  sick.step();
+  sick.end("n-1", "error");
+  sick.step();
+  for (let i = 0; i < 3; i++) sick.step();
+  const aside = (scene: Scene): string[] =>
+    [...scene.s.cluster.machines.values()].filter((m) => m.setAside !== null).map((m) => m.id);
+  assert.deepEqual(aside(sick), ["n-1"]);
+
+  const faulty = new Scene(EAST);
+  faulty.s.jobSeen(spec({ tasks: 6 }), 20, instant(0));
+  for (let i = 0; i < 200; i++) {
+    faulty.step();
+    for (const { id } of EAST) faulty.end(id, "error");
+  }
+  assert.deepEqual(aside(faulty), []);
+  // and it isn't retried in a tight loop
+  assert.ok(faulty.ops("start") < 60, `${faulty.ops("start")} starts in 100 s`);
+  assert.ok(faulty.ops("start") > 6);
+});
+
+test("production work stops the youngest idle work, and no more of it than needed", () => {
+  const scene = new Scene(EAST);
+  scene.s.jobSeen(spec({ priority: "low", tasks: 6 }), 20, instant(0));
+  scene.step();
+  assert.equal(scene.live().length, 6);
+  scene.s.jobSeen(
+    spec({ id: "req-000002", kind: "service", priority: "production", spot: false }),
+    21,
+    instant(scene.now),
+  );
+  for (let i = 0; i < 6; i++) scene.step();
+  assert.equal(scene.ops("stop"), 1);
+  assert.equal(scene.live().filter((t) => t.job === "req-000002").length, 1);
+  assert.equal(scene.live().filter((t) => t.job === "req-000001").length, 5);
+});
+
+test("a machine that will be taken saves what can be saved and moves its replica", () => {
+  const scene = new Scene(EAST);
+  scene.s.jobSeen(spec({ checkpoint: Duration.seconds(10), save: Duration.seconds(3) }), 20, instant(0));
+  scene.s.jobSeen(
+    spec({ id: "req-000002", kind: "service", priority: "production", image: "other" }),
+    21,
+    instant(0),
+  );
+  scene.step();
+  for (const { machine } of [...scene.sent]) scene.report(machine, "east", { noticeS: 10 });
+  scene.now += 10;
+  const orders = scene.s.step(instant(scene.now)).flatMap((d) => (d.kind === "orders" ? d.orders : []));
+  assert.ok(orders.some((o) => o.op === "stop" && o.job === "req-000001" && o.graceS === 3));
+});
