Take over without waiting for booting machines; start replicas where their image is cached

Cause: a new leader waited up to 12 s for machines that were only rented and not yet up, while every older job was blocked; 8 s of idling led to returning and renting the same machines again; replicas went to free room whose image fetch alone took longer than their start may take.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -18,7 +18,8 @@
 export interface FleetOptions {
   /** Share of the room now taken by short tasks that queued tasks of each kind may wait for. */
   readonly reuse: number;
-  readonly idleFor: Duration.Duration;
+  /** How long a machine stands idle before it is returned, in boot times of its type. */
+  readonly idleBoots: number;
   /** Seconds of arriving work for which room is kept free. */
   readonly warmFor: Duration.Duration;
 }
@@ -178,11 +179,17 @@
   }
 
   /** Idle machines to return: never more than leaves room for the expected arrivals. */
-  spare(cluster: Cluster, now: Instant, isUsable: (m: Machine) => boolean): Machine[] {
+  spare(
+    cluster: Cluster,
+    types: ReadonlyMap<string, MachineType>,
+    now: Instant,
+    isUsable: (m: Machine) => boolean,
+  ): Machine[] {
     const idle: Machine[] = [];
+    const patience = (m: Machine): Duration.Duration =>
+      Duration.times(types.get(m.type)?.boot ?? Duration.zero, this.options.idleBoots);
     for (const m of cluster.machines.values())
-      if (m.idleSince !== null && m.releasing === null && passed(now, m.idleSince, this.options.idleFor))
-        idle.push(m);
+      if (m.idleSince !== null && m.releasing === null && passed(now, m.idleSince, patience(m))) idle.push(m);
     if (idle.length === 0) return [];
     const rooms = [...cluster.machines.values()].filter(isUsable).map((m) => ({ m, room: freeRoom(m) }));
     const needed = new Set<string>();
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -39,6 +39,8 @@
   readonly zone: string;
   readonly spot: boolean;
   readonly addr: string | null;
+  /** Whether something may have been started on it. false: rented, and only recorded so as not to be forgotten. */
+  readonly open: boolean;
 }
 export interface RentalRecord {
   readonly type: string;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -41,6 +41,8 @@
   readonly spans: Spans;
   readonly teams: ReadonlyMap<string, Team>;
   readonly fleet: FleetOptions;
+  /** How soon users expect tasks of a class to start, from the platform's objectives. */
+  readonly startGoals: ReadonlyMap<string, Duration.Duration>;
 }
 
 export type Decision =
@@ -180,6 +182,8 @@
 
   /** A machine record read from the state service, or one just written. */
   recorded(id: string, record: MachineRecord, now: Instant): Machine | null {
+    // nothing was ever started on a machine whose record isn't open: it needs no confirmation
+    if (!record.open) return this.discovered(id, record, now);
     if (this.released.has(id)) return null;
     let m = this.cluster.machines.get(id);
     if (m === undefined) {
@@ -198,17 +202,7 @@
     if (m !== undefined) m.recording = false;
   }
 
-  /** Machines that no recorded machine needs to be waited for: this leader just got them from the cloud. */
-  rented(ids: readonly string[], record: MachineRecord, now: Instant): void {
-    for (const id of ids) {
-      const known = this.cluster.machines.has(id);
-      const m = this.recorded(id, record, now);
-      // nothing was ever started on it: only this leader knows of it
-      if (m !== null && !known) m.confirmed = true;
-    }
-  }
-
-  /** An unrecorded machine (found in a report or a list) never got a start from anybody. */
+  /** A machine without an open record (rented, or found in a report or a list) never got a start from anybody. */
   private discovered(id: string, record: MachineRecord, now: Instant): Machine | null {
     if (this.released.has(id)) return null;
     const known = this.cluster.machines.get(id);
@@ -229,6 +223,8 @@
       const m = this.discovered(row.id, row.record, plus(now, Duration.millis(-row.ageMs)));
       if (m === null) continue;
       m.listed = true;
+      const created = plus(now, Duration.millis(-row.ageMs));
+      if (m.heard === null && created < m.created) m.created = created;
       m.addr ??= row.record.addr;
       if (row.failed) m.failed = true;
     }
@@ -255,7 +251,11 @@
   // --- reports ----------------------------------------------------------------------------------------
 
   report(r: WorkerReport, via: string, now: Instant): void {
-    const m = this.discovered(r.machine, { type: r.type, zone: r.zone, spot: r.spot, addr: r.addr }, now);
+    const m = this.discovered(
+      r.machine,
+      { type: r.type, zone: r.zone, spot: r.spot, addr: r.addr, open: false },
+      now,
+    );
     if (m === null) return;
     // the message with the larger (session, seq) is the newer one; older ones say nothing about now
     if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return;
@@ -569,6 +569,10 @@
           this.makeRoom(job, candidates, now, orders, out);
           break;
         }
+        if (this.fetchTooLong(job, m)) {
+          const cached = candidates.filter((x) => x.images.has(spec.image));
+          if (this.makeRoom(job, cached, now, orders, out, true)) break;
+        }
         parts.set(m.via, partRoom(m.via) - spec.cpus);
         this.start(job, index, ++this.attempts, m, now, orders);
         budget--;
@@ -676,16 +680,27 @@
     }
   }
 
+  /** Free room is no use to a job whose image takes longer to fetch than its start may take. */
+  private fetchTooLong(job: Job, m: Machine): boolean {
+    const goal = this.options.startGoals.get(job.spec.className);
+    const type = this.typeByName.get(m.type);
+    if (goal === undefined || type === undefined || m.images.has(job.spec.image)) return false;
+    return job.spec.imageGb / type.fetchGbPerS > Duration.toSeconds(goal);
+  }
+
+  /** Stops others for one task of a job; true while that is under way. `once`: not a second time for this job. */
   private makeRoom(
     job: Job,
     candidates: readonly Machine[],
     now: Instant,
     orders: Map<string, Order[]>,
     out: Decision[],
-  ): void {
+    once = false,
+  ): boolean {
     const id = job.spec.id;
     const making = this.makingRoom.get(id);
-    if (making !== undefined && now < making.until) return;
+    if (making !== undefined && now < making.until) return true;
+    if (making !== undefined && once) return false;
     const rank = RANK[job.spec.priority];
     const guaranteed = this.guaranteed.has(job);
     const mayStop = (hold: Hold): boolean => {
@@ -701,13 +716,14 @@
       );
     };
     const found = victims(this.cluster, job, candidates, now, mayStop);
-    if (found === null) return;
+    if (found === null) return false;
     for (const hold of found.holds) stopTask(hold, orders);
     this.makingRoom.set(id, { until: plus(now, Duration.millis(300)), tasks: 1 });
     out.push({
       kind: "note",
       text: `stop ${found.holds.map((h) => `${h.job}/${h.index}`).join(" ")} on ${found.machine.id} for ${id}`,
     });
+    return true;
   }
 
   private commit(out: Decision[]): void {
@@ -723,12 +739,12 @@
     for (const m of this.cluster.machines.values()) {
       const idle = m.holds.size === 0;
       m.idleSince = idle && m.heard !== null ? (m.idleSince ?? now) : null;
-      if (m.recorded || m.recording || m.releasing !== null) continue;
+      if (m.recorded || m.recording || m.releasing !== null || m.heard === null) continue;
       m.recording = true;
       out.push({
         kind: "record",
         machine: m.id,
-        record: { type: m.type, zone: m.zone, spot: m.spot, addr: m.addr },
+        record: { type: m.type, zone: m.zone, spot: m.spot, addr: m.addr, open: true },
       });
     }
   }
@@ -825,7 +841,7 @@
       const why = this.releaseReason(m, now);
       if (why !== null) (releases.get(why) ?? releases.set(why, []).get(why)!).push(m.id);
     }
-    for (const m of this.fleet.spare(this.cluster, now, (x) => this.usable(x, now)))
+    for (const m of this.fleet.spare(this.cluster, this.typeByName, now, (x) => this.usable(x, now)))
       (releases.get("idle") ?? releases.set("idle", []).get("idle")!).push(m.id);
     for (const [why, machines] of releases) {
       for (const id of machines) this.cluster.machines.get(id)!.releasing = now;
@@ -907,10 +923,15 @@
     const type = this.typeByName.get(m.type);
     if (m.heard === null) {
       const since = m.recorded && !m.confirmed ? this.termBegan : m.created;
-      const patience = m.confirmed
-        ? Duration.times(type?.boot ?? Duration.seconds(60), 2.5)
-        : Duration.seconds(8);
-      return passed(now, since, patience) ? (m.confirmed ? "never came up" : "silent since take-over") : null;
+      if (m.confirmed) {
+        const patience = Duration.times(type?.boot ?? Duration.seconds(60), 2.5);
+        return passed(now, since, patience) ? "never came up" : null;
+      }
+      // until it is gone, nothing that it may hold can start
+      const unheard = [...this.cluster.machines.values()].filter((x) => !x.confirmed).length;
+      const few = unheard <= Math.max(2, this.cluster.machines.size * 0.25);
+      const patience = !few ? 15_000 : m.unanswered >= 2 ? 4000 : 8000;
+      return passed(now, since, Duration.millis(patience)) ? "silent since take-over" : null;
     }
     const silentFor = Math.min(now - m.heard, now - this.termBegan);
     if (silentFor > 0 && passed(now, m.heard, this.fresh())) {
@@ -936,7 +957,12 @@
     this.fleet.asked.delete(name);
     if (machines.length < record.count)
       this.fleet.refused(offerKey(record.type, record.zone, record.spot), now);
-    this.rented(machines, { type: record.type, zone: record.zone, spot: record.spot, addr: null }, now);
+    for (const id of machines)
+      this.discovered(
+        id,
+        { type: record.type, zone: record.zone, spot: record.spot, addr: null, open: false },
+        now,
+      );
   }
 }
 
--- a/src/io/codec.ts
+++ b/src/io/codec.ts
@@ -4,6 +4,7 @@
 import type {
   JobSpec,
   Kind,
+  MachineRecord,
   MachineType,
   Order,
   Priority,
@@ -242,7 +243,7 @@
 
 export interface ListedMachine {
   readonly id: string;
-  readonly record: { type: string; zone: string; spot: boolean; addr: string | null };
+  readonly record: MachineRecord;
   readonly failed: boolean;
   readonly ageMs: number;
 }
@@ -265,7 +266,13 @@
   return {
     rows: b.hearths.map((m) => ({
       id: m.ref,
-      record: { type: m.build, zone: m.district, spot: m.loaners ?? false, addr: m.endpoint ?? null },
+      record: {
+        type: m.build,
+        zone: m.district,
+        spot: m.loaners ?? false,
+        addr: m.endpoint ?? null,
+        open: false,
+      },
       failed: m.status === "failed",
       ageMs: (m.held_s ?? 0) * 1000,
     })),
--- a/src/io/schemas.ts
+++ b/src/io/schemas.ts
@@ -65,12 +65,12 @@
       default: 0.5,
       description: "Share of the room of running short tasks that queued array tasks may wait for.",
     },
-    idle_s: {
+    idle_boots: {
       type: "number",
       minimum: 0,
-      maximum: 3600,
-      default: 8,
-      description: "How long a machine stands idle before it is returned.",
+      maximum: 100,
+      default: 0.6,
+      description: "How long a machine stands idle before it is returned, in boot times of its type.",
     },
     warm_s: {
       type: "number",
--- a/src/io/settings.ts
+++ b/src/io/settings.ts
@@ -23,13 +23,15 @@
   };
   readonly cloudLimits: { readonly rps: number; readonly listLag: Duration.Duration };
   readonly maxConnections: number;
+  /** How soon the platform's objectives expect tasks of a class to start. */
+  readonly startGoals: ReadonlyMap<string, Duration.Duration>;
   readonly operator: OperatorSettings;
 }
 
 export interface OperatorSettings {
   readonly memberLease: Duration.Duration;
   readonly reuse: number;
-  readonly idleFor: Duration.Duration;
+  readonly idleBoots: number;
   readonly warmFor: Duration.Duration;
 }
 
@@ -41,6 +43,7 @@
   seeds: { member: string; domain: string; addr: string }[];
   external: { cloud: string; state: string };
   params: {
+    objectives?: { kind?: unknown; class?: unknown; within_s?: unknown }[];
     teams: { name: string; cpus: number; cpus_max: number; gpus: number; gpus_max: number }[];
     workers: { report_s: number; lease_s: number; cancel_s: number };
     state: { rps: number; write_rps: number; value_kb: number; txn_ops: number };
@@ -76,6 +79,16 @@
   );
 };
 
+const startGoalsOf = (
+  objectives: NonNullable<PlatformFile["params"]["objectives"]>,
+): Map<string, Duration.Duration> => {
+  const goals = new Map<string, Duration.Duration>();
+  for (const o of objectives)
+    if (o.kind === "wait" && typeof o.class === "string" && typeof o.within_s === "number")
+      goals.set(o.class, Duration.seconds(o.within_s));
+  return goals;
+};
+
 export const loadSettings = (platformPath: string, operatorPath: string | undefined): Settings => {
   const ajv = new Ajv({ useDefaults: true, strict: false });
   const file = read(platformPath, ajv.compile<PlatformFile>(platformSchema));
@@ -114,10 +127,11 @@
     },
     cloudLimits: { rps: params.cloud.rps, listLag: Duration.seconds(params.cloud.list_lag_s) },
     maxConnections: params.machine_limits.max_connections,
+    startGoals: startGoalsOf(params.objectives ?? []),
     operator: {
       memberLease: Duration.seconds(own.member_lease_s),
       reuse: own.reuse,
-      idleFor: Duration.seconds(own.idle_s),
+      idleBoots: own.idle_boots,
       warmFor: Duration.seconds(own.warm_s),
     },
   };
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -34,6 +34,7 @@
   readonly spans: Spans;
   readonly teams: ReadonlyMap<string, Team>;
   readonly fleet: FleetOptions;
+  readonly startGoals: ReadonlyMap<string, Duration.Duration>;
   readonly txnOps: number;
   readonly listEvery: Duration.Duration;
 }
@@ -451,14 +452,16 @@
         // while it is uncertain it stays asked for, so nothing is rented twice
         yield* Effect.sleep(Duration.millis(Math.min(4000, 500 * 2 ** tries++)));
       }
-      const record: MachineRecord = { type: r.type, zone: r.zone, spot: r.spot, addr: null };
+      const record: MachineRecord = { type: r.type, zone: r.zone, spot: r.spot, addr: null, open: false };
       const got = machines ?? [];
       let stored = false;
+      const key = { key: keys.leader, stamp: leadership.stamp };
       for (let i = 0; i < 20 && !stored; i++) {
         const batch = got.slice(0, this.options.txnOps - 1);
         const result = yield* this.state
           .commit(
-            [{ key: keys.leader, stamp: leadership.stamp }],
+            // a machine may be up and recorded as open by now: that must not be taken back, also not late
+            [key, ...batch.map((id) => ({ key: keys.machine(id), stamp: 0 }))],
             [
               { delete: keys.rental(name) },
               ...batch.map((id): Change => ({ put: keys.machine(id), value: record })),
@@ -466,11 +469,15 @@
           )
           .pipe(Effect.orElseSucceed(() => null));
         if (result?.ok === true) stored = true;
-        else if (result?.ok === false) return;
-        else yield* Effect.sleep(Duration.millis(400));
+        else if (result?.ok === false) {
+          if (result.failed.includes(keys.leader)) return;
+          // an earlier try was carried out, or the machines were recorded otherwise
+          yield* this.state.commit([key], [{ delete: keys.rental(name) }]).pipe(Effect.ignore);
+          break;
+        } else yield* Effect.sleep(Duration.millis(400));
       }
       this.log.info({ rental: name, machines: got, refused: machines === null }, "rental answered");
-      this.guarded?.with((s) => s.rentalAnswered(name, r, stored ? got : [], now()));
+      this.guarded?.with((s) => s.rentalAnswered(name, r, got, now()));
       this.stepNow.poke();
     });
   }
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -46,9 +46,10 @@
         teams,
         fleet: {
           reuse: settings.operator.reuse,
-          idleFor: settings.operator.idleFor,
+          idleBoots: settings.operator.idleBoots,
           warmFor: settings.operator.warmFor,
         },
+        startGoals: settings.startGoals,
         txnOps: settings.stateLimits.txnOps,
         listEvery: Duration.seconds(Math.max(2, Duration.toSeconds(settings.cloudLimits.listLag) / 2)),
       },
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -37,7 +37,7 @@
     "--config",
     file("good.json", platform),
     "--settings",
-    file("own.json", { idle_s: 5 }),
+    file("own.json", { idle_boots: 1 }),
   );
   assert.equal(result.status, 0, result.stderr);
   assert.match(result.stdout, /^ok: one in east/);
--- a/test/model.ts
+++ b/test/model.ts
@@ -167,7 +167,12 @@
     const cpus = TYPES.find((t) => t.name === type)!.cpus;
     this.workers.set(
       id,
-      new Worker(id, { type, zone, spot, addr: id }, this.now + 500 + this.random() * 3000, cpus),
+      new Worker(
+        id,
+        { type, zone, spot, addr: id, open: false },
+        this.now + 500 + this.random() * 3000,
+        cpus,
+      ),
     );
     return id;
   }
@@ -468,7 +473,8 @@
       {
         spans: SPANS,
         teams: new Map(TEAMS.map((t) => [t.name, this.without === "quota" ? { ...t, cpusMax: 0 } : t])),
-        fleet: { reuse: 0.5, idleFor: Duration.seconds(5), warmFor: Duration.seconds(2) },
+        fleet: { reuse: 0.5, idleBoots: 1.5, warmFor: Duration.seconds(2) },
+        startGoals: new Map([["service", Duration.millis(100)]]),
       },
       this.term!,
       node.leaderStamp,
@@ -575,7 +581,7 @@
         ids.push(this.addMachine(d.rent.type.name, d.rent.zone, d.rent.spot));
       const record = { type: d.rent.type.name, zone: d.rent.zone, spot: d.rent.spot, count: d.rent.count };
       if (ownKey()) {
-        for (const id of ids) this.records.set(id, { ...record, addr: null });
+        for (const id of ids) this.records.set(id, { ...record, addr: null, open: false });
         s.rentalAnswered("", record, ids, instant(this.now));
       }
     } else if (d.kind === "release") {
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -45,7 +45,8 @@
       {
         spans: SPANS,
         teams: new Map(TEAMS.map((t) => [t.name, t])),
-        fleet: { reuse: 0.5, idleFor: Duration.seconds(5), warmFor: Duration.zero },
+        fleet: { reuse: 0.5, idleBoots: 1.5, warmFor: Duration.zero },
+        startGoals: new Map(),
       },
       term,
       10,
@@ -53,7 +54,7 @@
     );
     this.s.setTypes(TYPES);
     for (const { id, zone } of machines) {
-      this.s.recorded(id, { type: "small", zone, spot: false, addr: id }, instant(0));
+      this.s.recorded(id, { type: "small", zone, spot: false, addr: id, open: true }, instant(0));
       this.tasks.set(id, new Map());
       this.report(id, zone);
     }
@@ -182,7 +183,11 @@
   const scene = new Scene([{ id: "n-1", zone: "east" }]);
   scene.s.jobSeen(spec({}), 20, instant(0));
   scene.step(["n-1"]);
-  scene.s.recorded("n-2", { type: "small", zone: "east", spot: false, addr: "n-2" }, instant(scene.now));
+  scene.s.recorded(
+    "n-2",
+    { type: "small", zone: "east", spot: false, addr: "n-2", open: true },
+    instant(scene.now),
+  );
   scene.tasks.set("n-2", new Map());
   const later: Decision[] = [];
   for (let i = 0; i < 16; i++) later.push(...scene.step());
