Old memories of machines are not taken for machines after a take-over

Cause: after a new term members told the new leader their last reports anew, also of machines released long ago; it took them for fresh, started tasks on machines that were gone and waited 10 s to replace them. Now each report carries its age. In the model, a hanging machine goes on within its lease or not at all.

--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -20,6 +20,12 @@
   told: boolean;
 }
 
+/** A report and how long ago it came: after a new term old ones are told anew, and must not pass for fresh. */
+export interface AgedReport {
+  readonly report: WorkerReport;
+  readonly ageMs: number;
+}
+
 export interface Writing {
   readonly job: string;
   readonly puts: { key: string; chunk: number; text: string; ranges: Range[] }[];
@@ -33,7 +39,7 @@
   readonly answeredAt = new Map<string, Instant>();
   private readonly sentAway = new Map<string, Instant>();
   private readonly takenIn = new Map<string, number>();
-  private readonly reports = new Map<string, WorkerReport>();
+  private readonly reports = new Map<string, { report: WorkerReport; at: Instant }>();
   private readonly unsent = new Set<string>();
   private readonly signatures = new Map<string, string>();
   private readonly finishes = new Map<string, Finishes>();
@@ -69,17 +75,17 @@
       // it came back: it can't reach the part's member, so it is taken in
       this.takenIn.set(r.machine, term.token);
     }
-    this.take(r);
+    this.take(r, now);
     this.answeredAt.set(r.machine, now);
     return { kind: "taken", token: term.token };
   }
 
   /** A report from a beat or from the answer to orders. */
-  take(r: WorkerReport): void {
-    const last = this.reports.get(r.machine);
+  take(r: WorkerReport, now: Instant): void {
+    const last = this.reports.get(r.machine)?.report;
     if (last !== undefined && (r.session < last.session || (r.session === last.session && r.seq <= last.seq)))
       return;
-    this.reports.set(r.machine, r);
+    this.reports.set(r.machine, { report: r, at: now });
     const signature = `${r.session} ${r.token} ${r.noticeS !== null} ${r.addr} ${r.tasks
       .map((t) => `${t.job}/${t.index}#${t.attempt}${t.state}${t.why ?? ""}`)
       .join(" ")}`;
@@ -157,11 +163,11 @@
   }
 
   /** What the leader has not heard yet. What isn't delivered is put back with `untold`. */
-  news(): { reports: WorkerReport[]; stored: { job: string; ranges: Range[] }[] } {
-    const reports: WorkerReport[] = [];
+  news(now: Instant): { reports: AgedReport[]; stored: { job: string; ranges: Range[] }[] } {
+    const reports: AgedReport[] = [];
     for (const machine of this.unsent) {
-      const r = this.reports.get(machine);
-      if (r !== undefined) reports.push(r);
+      const held = this.reports.get(machine);
+      if (held !== undefined) reports.push({ report: held.report, ageMs: Math.max(0, now - held.at) });
     }
     this.unsent.clear();
     const stored: { job: string; ranges: Range[] }[] = [];
@@ -173,8 +179,9 @@
     return { reports, stored };
   }
 
-  untold(news: { reports: readonly WorkerReport[]; stored: readonly { job: string }[] }): void {
-    for (const r of news.reports) if (this.reports.has(r.machine)) this.unsent.add(r.machine);
+  untold(news: { reports: readonly AgedReport[]; stored: readonly { job: string }[] }): void {
+    for (const { report } of news.reports)
+      if (this.reports.has(report.machine)) this.unsent.add(report.machine);
     for (const { job } of news.stored) {
       const f = this.finishes.get(job);
       if (f !== undefined) f.told = false;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -250,7 +250,10 @@
 
   // --- reports ----------------------------------------------------------------------------------------
 
-  report(r: WorkerReport, via: string, now: Instant): void {
+  /** `at`: when a member took the report. */
+  report(r: WorkerReport, via: string, now: Instant, at: Instant = now): void {
+    // the memory of a machine that nobody recorded, and that has been silent since, is no machine
+    if (!this.cluster.machines.has(r.machine) && passed(now, at, this.fresh())) return;
     const m = this.discovered(
       r.machine,
       { type: r.type, zone: r.zone, spot: r.spot, addr: r.addr, open: false },
@@ -265,8 +268,10 @@
     m.token = Math.max(m.token, r.token);
     m.addr = r.addr;
     m.via = via;
-    m.heard = now;
-    m.unanswered = 0;
+    if (m.heard === null || at > m.heard) {
+      m.heard = at;
+      m.unanswered = 0;
+    }
     if (r.noticeS !== null) m.noticeUntil ??= plus(now, Duration.seconds(r.noticeS));
     else m.noticeUntil = null;
     const complete = r.token >= this.term.token;
--- a/src/io/peer-codec.ts
+++ b/src/io/peer-codec.ts
@@ -2,6 +2,7 @@
 import avro from "avsc";
 import type { Order, TaskReport, TermRecord, WorkerReport } from "../core/records.js";
 import type { OrderOutcome } from "../core/scheduler.js";
+import type { AgedReport } from "../core/part.js";
 import type { Range } from "../core/ranges.js";
 
 const array = (items: unknown) => ({ type: "array", items });
@@ -47,7 +48,7 @@
   readonly mark: number;
   readonly stateOk: boolean;
   readonly answered: readonly { machine: string; ageMs: number }[];
-  readonly reports: readonly WorkerReport[];
+  readonly reports: readonly AgedReport[];
   readonly stored: readonly { job: string; ranges: readonly Range[] }[];
 }
 export interface SyncAnswer {
@@ -91,7 +92,7 @@
     mark: "double",
     stateOk: "boolean",
     answered: array(record("Answered", { machine: "string", ageMs: "double" })),
-    reports: array(report),
+    reports: array(record("Aged", { report, ageMs: "double" })),
     stored: array(record("Stored", { job: "string", ranges: array(array("int")) })),
   }),
 );
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -105,8 +105,8 @@
     }
     const at = now();
     return scheduler.with((s) => {
-      for (const r of m.reports) {
-        s.report(r, m.member, at);
+      for (const { report: r, ageMs } of m.reports) {
+        s.report(r, m.member, at, minus(at, Duration.millis(ageMs)));
         if (this.log.isLevelEnabled("debug"))
           this.log.debug({ machine: r.machine, tasks: describe(r) }, "report");
       }
--- a/src/service/member.ts
+++ b/src/service/member.ts
@@ -83,7 +83,7 @@
         return { outcome: "unsent" as const, report: null };
       const result = yield* this.workers.orders(d.addr, d.term.token, d.session, d.orders);
       if (result.report !== null) {
-        this.part.take(result.report);
+        this.part.take(result.report, now());
         this.wake();
       }
       return result;
@@ -97,8 +97,8 @@
       this.mark = -1;
       this.markToken = term.token;
     }
-    const news = this.part.news();
     const at = now();
+    const news = this.part.news(at);
     const sync: Sync = {
       token: term.token,
       member: this.options.me,
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -258,3 +258,33 @@
   const orders = scene.s.step(instant(scene.now)).flatMap((d) => (d.kind === "orders" ? d.orders : []));
   assert.ok(orders.some((o) => o.op === "stop" && o.job === "req-000001" && o.graceS === 3));
 });
+
+test("after a take-over an old memory of a machine is not taken for the machine", () => {
+  const scene = new Scene([]);
+  const old = {
+    machine: "n-9",
+    addr: "x",
+    type: "small",
+    zone: "east",
+    spot: false,
+    session: 1,
+    seq: 5,
+    token: 1,
+  };
+  const r = { ...old, noticeS: null, tasks: [] };
+  // released by the leader before, so without a record: nobody is there
+  scene.s.report(r, "a", instant(50_000), instant(20_000));
+  assert.equal(scene.s.cluster.machines.size, 0);
+  scene.s.recorded(
+    "n-9",
+    { type: "small", zone: "east", spot: false, addr: "x", open: true },
+    instant(50_000),
+  );
+  scene.s.report(r, "a", instant(50_000), instant(20_000));
+  scene.s.jobSeen(spec({}), 20, instant(50_000));
+  const orders = scene.s.step(instant(50_000)).flatMap((d) => (d.kind === "orders" ? d.orders : []));
+  assert.deepEqual(orders, []);
+  scene.s.report({ ...r, seq: 6 }, "a", instant(50_100), instant(50_090));
+  const starts = scene.s.step(instant(50_200)).flatMap((d) => (d.kind === "orders" ? d.orders : []));
+  assert.ok(starts.length <= 1);
+});
