The others' word keeps workers' leases through a long outage of the state service

Cause: in an outage longer than fence + lease_s no node answers workers and every task is lost. A node whose renewals fail now asks all other nodes; while none knows of a newer term it goes on answering (no orders, no decisions).

--- a/src/core/term.ts
+++ b/src/core/term.ts
@@ -68,3 +68,14 @@
 export const sameMembers = (a: readonly TermMember[], b: readonly TermMember[]): boolean =>
   a.length === b.length &&
   a.every((m) => b.some((n) => n.name === m.name && n.incarnation === m.incarnation));
+
+/** Since when every other node's word stands that it knows of no newer term; null: not every one's does. */
+export const wordOfAll = (others: readonly string[], words: ReadonlyMap<string, Instant>): Instant | null => {
+  let since: Instant | null = null;
+  for (const other of others) {
+    const at = words.get(other);
+    if (at === undefined) return null;
+    if (since === null || at < since) since = at;
+  }
+  return since;
+};
--- a/src/io/peer-codec.ts
+++ b/src/io/peer-codec.ts
@@ -122,5 +122,15 @@
   record("Delivered", { outcome: "string", report: ["null", report] }),
 );
 
-export const peerPaths = { sync: "/sync", deliver: "/deliver" } as const;
+/** A node whose renewals fail asks the others whether its term is current. */
+export interface Word {
+  readonly token: number;
+}
+export interface WordAnswer {
+  readonly noneNewer: boolean;
+}
+export const wordCodec = codec<Word>(record("Word", { token: "long" }));
+export const wordAnswerCodec = codec<WordAnswer>(record("WordAnswer", { noneNewer: "boolean" }));
+
+export const peerPaths = { sync: "/sync", deliver: "/deliver", word: "/word" } as const;
 export type { TaskReport };
--- a/src/service/member.ts
+++ b/src/service/member.ts
@@ -56,7 +56,7 @@
   }
 
   beat(r: WorkerReport): BeatAnswer {
-    const answer = this.part.beat(r, this.membership.entitled(), this.membership.incarnation, now());
+    const answer = this.part.beat(r, this.membership.mayAnswer(), this.membership.incarnation, now());
     if (answer.kind === "taken") {
       this.wake();
     }
--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -1,8 +1,8 @@
 /** This node's lease, its member key, the term, and the race for the leader's key. */
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
-import { entitled, sameMembers, type Spans } from "../core/term.js";
-import type { Instant } from "../core/time.js";
+import { entitled, sameMembers, type Spans, wordOfAll } from "../core/term.js";
+import { type Instant, passed } from "../core/time.js";
 import {
   keys,
   type LeaderRecord,
@@ -30,6 +30,10 @@
   term: TermRecord | null = null;
   termStamp = 0;
   leadership: Leadership | null = null;
+  /** A term that this node has asked the state service to write, whatever became of it. */
+  private beginning = 0;
+  /** When the other nodes were last asked who then knew of no newer term. */
+  private readonly words = new Map<string, Instant>();
   private rows = new Map<string, Row>();
   private synced = false;
   private readonly renewNow = new Signal();
@@ -43,9 +47,26 @@
     private readonly spans: Spans,
     private readonly state: StateClient,
     private readonly log: Log,
+    private readonly others: readonly string[],
+    private readonly ask: (member: string, token: number) => Effect.Effect<boolean>,
   ) {}
 
-  /** May this node answer workers and deliver orders right now? */
+  /**
+   * May this node answer workers (not: send orders) right now? Either a renewal of its own shows the term current,
+   * or the word of all other nodes does: only nodes begin terms. This keeps leases through a long state outage.
+   */
+  mayAnswer(): boolean {
+    return (
+      this.entitled() || (this.inTerm() && entitled(this.spans, wordOfAll(this.others, this.words), now()))
+    );
+  }
+
+  /** Another node asks whether its term is current, as far as this node knows or began itself. */
+  knowsNoneNewer(token: number): boolean {
+    return Math.max(this.term?.token ?? 0, this.beginning) <= token;
+  }
+
+  /** May this node send orders and act for the controllers right now? */
   entitled(): boolean {
     return entitled(this.spans, this.confirmed, now()) && this.inTerm();
   }
@@ -69,6 +90,7 @@
     this.term = row.value as TermRecord;
     // the fence window counts from a renewal that showed *this* term
     this.confirmed = null;
+    this.words.clear();
     this.log.info(
       { term: this.term.token, leader: this.term.leader, members: this.term.members.map((m) => m.name) },
       "term",
@@ -218,6 +240,7 @@
     }));
     if (!members.some((m) => m.name === this.me && m.incarnation === this.incarnation)) return false;
     const term: TermRecord = { token: (old?.token ?? 0) + 1, leader: this.me, members };
+    this.beginning = Math.max(this.beginning, term.token);
     const result = yield* this.state.commit(
       [
         { key: keys.leader, stamp: leadership.stamp },
@@ -239,5 +262,27 @@
     return this.entitled();
   });
 
-  readonly run = Effect.all([this.renewLoop, this.watchLoop], { concurrency: 2, discard: true });
+  /** While renewals fail, asks the others; the window counts from before each question. */
+  private readonly askLoop = Effect.gen(this, function* () {
+    yield* Effect.sleep(Duration.times(this.spans.fence, 0.25));
+    const term = this.term;
+    const late =
+      this.confirmed === null || passed(now(), this.confirmed, Duration.times(this.spans.fence, 0.5));
+    if (!late || term === null || !this.inTerm()) return;
+    yield* Effect.forEach(
+      this.others,
+      (member) => {
+        const asked = now();
+        return Effect.map(this.ask(member, term.token), (ok) => {
+          if (ok && this.term === term) this.words.set(member, asked);
+        });
+      },
+      { concurrency: "unbounded", discard: true },
+    );
+  }).pipe(Effect.forever);
+
+  readonly run = Effect.all([this.renewLoop, this.watchLoop, this.askLoop], {
+    concurrency: 3,
+    discard: true,
+  });
 }
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -25,7 +25,15 @@
     const cloud = new CloudClient(settings.cloud, settings.cloudLimits.rps);
     const peers = new Peers(settings.peers);
     const mirror = new Mirror(state, log);
-    const membership = new Membership(settings.member, settings.zone, spans, state, log);
+    const membership = new Membership(
+      settings.member,
+      settings.zone,
+      spans,
+      state,
+      log,
+      settings.peers.map((p) => p.member),
+      (other, token) => peers.word(other, token),
+    );
     const member = new Member(
       {
         me: settings.member,
@@ -81,7 +89,11 @@
       leader,
       log,
     );
-    yield* servePeers(settings.peerBind, { sync: leader.sync, deliver: (d) => member.deliver(d) });
+    yield* servePeers(settings.peerBind, {
+      sync: leader.sync,
+      deliver: (d) => member.deliver(d),
+      word: (w) => ({ noneNewer: membership.knowsNoneNewer(w.token) }),
+    });
     yield* front.serve();
     log.info({ front: settings.front, peers: settings.peerBind }, "listening");
     yield* Effect.all([membership.run, mirror.run, member.run, leader.run], {
--- a/src/service/peers.ts
+++ b/src/service/peers.ts
@@ -14,6 +14,10 @@
   type SyncAnswer,
   syncAnswerCodec,
   syncCodec,
+  type Word,
+  type WordAnswer,
+  wordAnswerCodec,
+  wordCodec,
 } from "../io/peer-codec.js";
 import { listen, readBody } from "../io/server.js";
 
@@ -47,6 +51,14 @@
     return this.ask(member, peerPaths.sync, syncCodec, syncAnswerCodec, value, Duration.seconds(1.5));
   }
 
+  /** false also when there is no answer. */
+  word(member: string, token: number): Effect.Effect<boolean> {
+    return this.ask(member, peerPaths.word, wordCodec, wordAnswerCodec, { token }, Duration.seconds(1)).pipe(
+      Effect.map((answer) => answer?.noneNewer ?? false),
+      Effect.orElseSucceed(() => false),
+    );
+  }
+
   deliver(member: string, value: Deliver): Effect.Effect<Delivered | null, CallFailed> {
     return this.ask(member, peerPaths.deliver, deliverCodec, deliveredCodec, value, Duration.seconds(3));
   }
@@ -55,6 +67,7 @@
 export interface PeerHandlers {
   sync(value: Sync): SyncAnswer;
   deliver(value: Deliver): Effect.Effect<Delivered>;
+  word(value: Word): WordAnswer;
 }
 
 export const servePeers = (bind: string, handlers: PeerHandlers): Effect.Effect<void, Error> => {
@@ -67,6 +80,8 @@
       try {
         if (request.url === peerPaths.sync)
           send(syncAnswerCodec.encode(handlers.sync(syncCodec.decode(body))));
+        else if (request.url === peerPaths.word)
+          send(wordAnswerCodec.encode(handlers.word(wordCodec.decode(body))));
         else if (request.url === peerPaths.deliver)
           Effect.runFork(
             Effect.map(handlers.deliver(deliverCodec.decode(body)), (d) => send(deliveredCodec.encode(d))),
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -8,7 +8,7 @@
 import { Part } from "../src/core/part.js";
 import { RangeSet, windows } from "../src/core/ranges.js";
 import type { TermRecord, WorkerReport } from "../src/core/records.js";
-import { entitled, ownerOf, spansOf } from "../src/core/term.js";
+import { entitled, ownerOf, spansOf, wordOfAll } from "../src/core/term.js";
 import { instant } from "../src/core/time.js";
 import { parseReport, parseSubmission } from "../src/io/codec.js";
 import { deliveredCodec, syncCodec } from "../src/io/peer-codec.js";
@@ -99,6 +99,14 @@
   assert.ok(Math.min(owners.get("a")!, owners.get("c")!) > 50);
 });
 
+test("the word of all other nodes, and of no fewer, keeps a node answering", () => {
+  const words = new Map([["b", instant(500)]]);
+  assert.equal(wordOfAll(["b", "c"], words), null);
+  words.set("c", instant(300));
+  assert.equal(wordOfAll(["b", "c"], words), 300);
+  assert.equal(wordOfAll([], new Map()), null);
+});
+
 test("a worker is sent to its part's member once, and taken in when it comes back", () => {
   const part = new Part("a", 1000);
   part.setTerm(term);
--- a/test/model.ts
+++ b/test/model.ts
@@ -18,7 +18,7 @@
 import { Part } from "../src/core/part.js";
 import { RangeSet } from "../src/core/ranges.js";
 import { type Decision, type OrderOutcome, Scheduler } from "../src/core/scheduler.js";
-import { entitled, sameMembers, spansOf } from "../src/core/term.js";
+import { entitled, sameMembers, spansOf, wordOfAll } from "../src/core/term.js";
 import { type Instant, instant, minus } from "../src/core/time.js";
 
 /** A guard that a run may take out, to show that the checker notices. */
@@ -97,6 +97,7 @@
   mark: number;
   markToken: number;
   nextSync: number;
+  words: Map<string, Instant>;
 }
 
 export interface Broken {
@@ -159,6 +160,7 @@
       mark: -1,
       markToken: 0,
       nextSync: this.now,
+      words: new Map(),
     };
   }
 
@@ -196,6 +198,26 @@
     if (this.without === "fence") return node.confirmed !== null;
     return entitled(SPANS, node.confirmed, instant(this.now)) && this.inTerm(node);
   }
+  /** The word of all other nodes opens the window too, for answers alone. */
+  private mayAnswer(node: Node): boolean {
+    if (this.entitled(node)) return true;
+    if (!node.alive || node.term === null || !this.inTerm(node)) return false;
+    const others = this.nodes.filter((n) => n !== node).map((n) => n.name);
+    return entitled(SPANS, wordOfAll(others, node.words), instant(this.now));
+  }
+  private askOthers(node: Node): void {
+    const { term } = node;
+    if (term === null || this.now % 500 !== 0) return;
+    const asked = instant(this.now);
+    for (const other of this.nodes)
+      if (other !== node)
+        this.later(() => {
+          const ok = other.alive && (other.term?.token ?? 0) <= term.token;
+          this.later(() => {
+            if (ok && node.term === term) node.words.set(other.name, asked);
+          });
+        });
+  }
   private inTerm(node: Node): boolean {
     return node.term!.members.some((m) => m.name === node.name && m.incarnation === node.incarnation);
   }
@@ -225,7 +247,7 @@
       }
     }
     if (this.chance(0.02)) this.pick(this.nodes).stateCutUntil = this.now + this.random() * 10_000;
-    if (this.chance(0.004)) this.stateDownUntil = this.now + this.random() * 8000;
+    if (this.chance(0.004)) this.stateDownUntil = this.now + this.random() * 25_000;
     const workers = [...this.workers.values()].filter((w) => !w.gone);
     if (workers.length > 0) {
       if (this.chance(0.03)) this.pick(workers).hungUntil = this.now + this.random() * 15_000;
@@ -339,7 +361,7 @@
         w.node++;
         return;
       }
-      const answer = node.part.beat(report, this.entitled(node), node.incarnation, instant(this.now));
+      const answer = node.part.beat(report, this.mayAnswer(node), node.incarnation, instant(this.now));
       if (answer.kind === "elsewhere") w.node = this.nodes.findIndex((n) => n.name === answer.member);
       else if (answer.kind === "unsure") w.node++;
       if (answer.kind !== "taken") return;
@@ -420,6 +442,7 @@
     if (this.leader !== null && this.now >= this.leader.until && this.now >= this.stateDownUntil)
       this.leader = null;
     if (this.now >= node.nextRenew) this.renew(node);
+    this.askOthers(node);
     if (this.now >= node.nextSync && node.term !== null) this.sync(node);
     this.store(node);
     const s = node.scheduler;
@@ -454,6 +477,7 @@
       if (node.term !== this.term && this.term !== null) {
         node.term = this.term;
         node.part.setTerm(this.term);
+        node.words = new Map();
       }
       node.confirmed = sent;
     });
@@ -497,6 +521,7 @@
     this.term = { token: (this.term?.token ?? 0) + 1, leader: node.name, members };
     node.term = this.term;
     node.part.setTerm(this.term);
+    node.words = new Map();
     node.confirmed = null;
     node.nextRenew = this.now;
   }
