--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -54,7 +54,11 @@
   | { kind: "newTerm"; why: string }
   | { kind: "note"; text: string };
 
-export type OrderOutcome = "done" | "rejected" | "unsent" | "unknown";
+/**
+ * done: executed. rejected: the worker refused. unsent: the worker can't be reached. unknown: it may be executed yet.
+ * barred: the node asked may not send (its term or its window); that says nothing about the worker.
+ */
+export type OrderOutcome = "done" | "rejected" | "unsent" | "unknown" | "barred";
 
 /** What a member vouches for: when it last answered each worker, as of an instant of the leader's clock. */
 interface Vouch {
@@ -398,7 +402,7 @@
     const m = this.cluster.machines.get(machine);
     if (m === undefined) return;
     if (token === this.term.token) m.inFlight = false;
-    if (token > 0 && (outcome === "unknown" || outcome === "unsent")) m.unanswered++;
+    if (outcome === "unknown" || outcome === "unsent") m.unanswered++;
     for (const order of orders) {
       const hold = m.holds.get(holdKey(order.job, order.index, order.attempt));
       if (hold === undefined) continue;
@@ -425,7 +429,7 @@
   }
 
   private fresh(): Duration.Duration {
-    return Duration.sum(Duration.times(this.options.spans.reportEvery, 1.25), Duration.seconds(2));
+    return Duration.sum(Duration.times(this.options.spans.reportEvery, 1.25), Duration.millis(1500));
   }
 
   private usable = (m: Machine, now: Instant): boolean => usable(m, now, this.fresh());
@@ -755,12 +759,15 @@
   }
 
   private send(now: Instant, orders: Map<string, Order[]>, out: Decision[]): void {
-    const probeAfter = this.fresh();
+    const probeAfter = Duration.sum(
+      Duration.times(this.options.spans.reportEvery, 1.25),
+      Duration.millis(500),
+    );
     for (const m of this.cluster.machines.values()) {
       let list = orders.get(m.id);
       if (m.addr === null || m.inFlight) {
         // one batch at a time: what can't go out now is decided again
-        if (list !== undefined) this.ordersAnswered(m.id, list, 0, "unsent");
+        if (list !== undefined) this.ordersAnswered(m.id, list, 0, "barred");
         continue;
       }
       if (list === undefined) {
@@ -946,7 +953,8 @@
       const lastWord = m.via === null ? undefined : this.vouches.get(m.via)?.asOf;
       const cut = lastWord === undefined || lastWord === null || passed(now, lastWord, Duration.seconds(4));
       const lonely = silent <= Math.max(2, all.length * 0.25) && !cut;
-      const patience = !lonely ? 40_000 : m.unanswered >= 2 ? 7000 : 10_000;
+      const soon = Duration.toMillis(this.fresh()) + 1000;
+      const patience = !lonely ? 40_000 : m.unanswered >= 2 ? soon : soon + 3000;
       if (silentFor >= patience) return "silent";
     }
     if (m.draining && m.holds.size === 0 && !m.inFlight) return "drained";
--- a/src/io/call.ts
+++ b/src/io/call.ts
@@ -55,8 +55,11 @@
       headers,
     });
     const timer = setTimeout(() => {
-      fail("timeout");
-      request.destroy();
+      // after a stall of this process the answer may be there already, unread: it is read first
+      setImmediate(() => {
+        fail("timeout");
+        request.destroy();
+      });
     }, Duration.toMillis(c.timeout));
     request.on("socket", (socket) => {
       // a connection that was given up before it stood does not complete later
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -303,6 +303,7 @@
       if (
         result === null ||
         result.outcome === "unsent" ||
+        result.outcome === "barred" ||
         (result.outcome === "unknown" && d.orders.length === 0)
       )
         result = yield* this.member.deliver(deliver);
--- a/src/service/member.ts
+++ b/src/service/member.ts
@@ -80,7 +80,7 @@
       }
       for (let i = 0; i < 20 && !this.membership.entitled(); i++) yield* Effect.sleep(Duration.millis(25));
       if (this.membership.term?.token !== d.term.token || !this.membership.entitled())
-        return { outcome: "unsent" as const, report: null };
+        return { outcome: "barred" as const, report: null };
       const result = yield* this.workers.orders(d.addr, d.term.token, d.session, d.orders);
       if (result.report !== null) {
         this.part.take(result.report, now());
