--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -33,7 +33,6 @@
   retryAt: Instant | null;
   committing: boolean;
   gangAttempt: number;
-  firstStart: Instant | null;
 }
 
 export interface Machine {
@@ -57,10 +56,9 @@
   recording: boolean;
   /** Reported under this term's token: its picture is complete. */
   confirmed: boolean;
-  /** When the term in force when it became unconfirmed began. */
+  /** When it last reported, or was answered as a member vouches; null: not since this leader began. */
   heard: Instant | null;
   created: Instant;
-  listed: boolean;
   failed: boolean;
   releasing: Instant | null;
   idleSince: Instant | null;
@@ -100,7 +98,6 @@
     retryAt: null,
     committing: false,
     gangAttempt: 0,
-    firstStart: null,
   };
 };
 
@@ -124,7 +121,6 @@
   confirmed: false,
   heard: null,
   created: now,
-  listed: false,
   failed: false,
   releasing: null,
   idleSince: null,
--- a/src/core/ranges.ts
+++ b/src/core/ranges.ts
@@ -57,11 +57,6 @@
     this.size--;
   }
 
-  /** The smallest number in the set. */
-  first(): number | undefined {
-    return this.spans[0]?.[0];
-  }
-
   /** Up to `most` of the smallest numbers in the set. */
   take(most: number): number[] {
     const out: number[] = [];
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -84,7 +84,7 @@
   private listedOnce = false;
   private doubtsSince: Instant | null = null;
   /** Room that is being made by stopping others, by job, so that no more is stopped than needed. */
-  private makingRoom = new Map<string, { until: Instant; tasks: number }>();
+  private makingRoom = new Map<string, { until: Instant }>();
   /** Jobs not older than this revision were never in an older leader's hands. */
   readonly since: number;
 
@@ -226,7 +226,6 @@
     for (const row of rows) {
       const m = this.discovered(row.id, row.record, plus(now, Duration.millis(-row.ageMs)));
       if (m === null) continue;
-      m.listed = true;
       const created = plus(now, Duration.millis(-row.ageMs));
       if (m.heard === null && created < m.created) m.created = created;
       m.addr ??= row.record.addr;
@@ -610,7 +609,6 @@
   ): void {
     // unique for ever: a token belongs to one leader, which counts its starts
     const attempt = this.term.token * 1_000_000 + n;
-    job.firstStart ??= now;
     addHold(this.cluster, {
       job: job.spec.id,
       index,
@@ -715,7 +713,8 @@
     const mayStop = (hold: Hold): boolean => {
       const spec = hold.spec!;
       if (spec.kind === "gang") return false;
-      if (RANK[spec.priority] < rank) return true;
+      // below production, room made a little sooner isn't worth work that has run for a while
+      if (RANK[spec.priority] < rank && (rank === RANK.production || !losesWork(hold, now))) return true;
       if (!guaranteed || spec.team === job.spec.team || spec.kind === "service") return false;
       const other = this.options.teams.get(spec.team);
       const usage = this.usageOf(spec.team);
@@ -727,7 +726,7 @@
     const found = victims(this.cluster, job, candidates, now, mayStop);
     if (found === null) return false;
     for (const hold of found.holds) stopTask(hold, orders);
-    this.makingRoom.set(id, { until: plus(now, Duration.millis(300)), tasks: 1 });
+    this.makingRoom.set(id, { until: plus(now, Duration.millis(300)) });
     out.push({
       kind: "note",
       text: `stop ${found.holds.map((h) => `${h.job}/${h.index}`).join(" ")} on ${found.machine.id} for ${id}`,
@@ -990,6 +989,13 @@
   push(orders, hold.machine, { op: "stop", job, index, attempt, graceS });
 };
 
+const CHEAP_LOSS = Duration.seconds(6);
+/** Whether stopping a task throws away more than a moment's work. */
+const losesWork = (hold: Hold, now: Instant): boolean =>
+  Duration.toMillis(hold.spec!.checkpoint) === 0 &&
+  hold.state === "running" &&
+  passed(now, hold.since, CHEAP_LOSS);
+
 /** A replica that has run long enough for its start to count, and that nobody is stopping. */
 const movable = (h: Hold, now: Instant): boolean =>
   h.spec?.kind === "service" &&
--- a/src/core/time.ts
+++ b/src/core/time.ts
@@ -10,9 +10,6 @@
 export const instant = (ms: number): Instant => ms as Instant;
 export const plus = (at: Instant, by: Duration.Duration): Instant => (at + Duration.toMillis(by)) as Instant;
 export const minus = (at: Instant, by: Duration.Duration): Instant => (at - Duration.toMillis(by)) as Instant;
-/** How long ago `earlier` was, seen at `now`. */
-export const since = (now: Instant, earlier: Instant): Duration.Duration =>
-  Duration.millis(Math.max(0, now - earlier));
 /** Whether at least `span` has passed from `earlier` to `now`. */
 export const passed = (now: Instant, earlier: Instant, span: Duration.Duration): boolean =>
   now - earlier >= Duration.toMillis(span);
--- a/src/io/peer-codec.ts
+++ b/src/io/peer-codec.ts
@@ -1,6 +1,6 @@
 /** What controllers say to one another, in Avro. */
 import avro from "avsc";
-import type { Order, TaskReport, TermRecord, WorkerReport } from "../core/records.js";
+import type { Order, TermRecord, WorkerReport } from "../core/records.js";
 import type { OrderOutcome } from "../core/scheduler.js";
 import type { AgedReport } from "../core/part.js";
 import type { Range } from "../core/ranges.js";
@@ -133,4 +133,3 @@
 export const wordAnswerCodec = codec<WordAnswer>(record("WordAnswer", { noneNewer: "boolean" }));
 
 export const peerPaths = { sync: "/sync", deliver: "/deliver", word: "/word" } as const;
-export type { TaskReport };
--- a/src/service/guarded.ts
+++ b/src/service/guarded.ts
@@ -3,8 +3,6 @@
  * nothing else runs until it returns, and being synchronous it can't be held over I/O. A semaphore (effect's)
  * would add a queue for no gain on a quarter of a core; see docs/design.md.
  */
-import * as Effect from "effect/Effect";
-
 export class Guarded<S> {
   constructor(private state: S) {}
 
@@ -12,9 +10,4 @@
   with<A>(section: (state: S) => A): A {
     return section(this.state);
   }
-
-  /** The same, as a step of an effect. */
-  within<A>(section: (state: S) => A): Effect.Effect<A> {
-    return Effect.sync(() => section(this.state));
-  }
 }
