--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -242,6 +242,8 @@
         continue;
       }
       this.released.add(id);
+      // late lists and reports speak of machines long gone; the oldest no longer do
+      if (this.released.size > 5000) this.released.delete(this.released.values().next().value!);
       this.drop(m);
     }
   }
--- a/src/service/status.ts
+++ b/src/service/status.ts
@@ -74,7 +74,8 @@
       batch.flatMap((w) => (w.known ? [keys.commit(w.id)] : [keys.commit(w.id), keys.job(w.id)])),
     ))
       when.push({ key, stamp: 0 });
-    return this.state.commit(when, []).pipe(
+    // users' questions wait for this node's share, so that renewals and commits never do
+    return this.state.commit(when, [], "later").pipe(
       Effect.flatMap((result) =>
         Effect.forEach(
           batch,
