--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -79,6 +79,13 @@
   return n;
 };
 
+/** How many replicas of a class one machine should hold, so that its loss costs a small part of them. */
+const fairShare = (cluster: Cluster, spec: JobSpec): number => {
+  let replicas = 0;
+  for (const m of cluster.machines.values()) replicas += sameClass(m, spec);
+  return Math.max(2, Math.ceil(replicas * 0.15));
+};
+
 /**
  * The design's companion: cached image first, else the roomiest part. Among equals, replicas go where the
  * fewest of their class are, so that one machine's loss costs little; other tasks fill up the fullest machine,
@@ -94,6 +101,7 @@
   const { spec } = job;
   let best: Machine | null = null;
   let bestScore: number[] = [];
+  const most = spec.kind === "service" ? fairShare(cluster, spec) : 0;
   for (const m of candidates) {
     if (!allowed(spec, m) || !fits(spec, freeRoom(m)) || !zoneAllows(cluster, job, m.zone)) continue;
     const failedHere = job.errorsOn.get(m.id);
@@ -101,7 +109,13 @@
     const cached = m.images.has(spec.image);
     const score =
       spec.kind === "service"
-        ? [cached ? 1 : 0, -sameClass(m, spec) / Math.max(1, m.cpus), partRoom(m.via), m.cpus - m.used.cpus]
+        ? [
+            cached ? 1 : 0,
+            sameClass(m, spec) < most ? 1 : 0,
+            -sameClass(m, spec) / Math.max(1, m.cpus),
+            partRoom(m.via),
+            m.cpus - m.used.cpus,
+          ]
         : [cached ? 1 : 0, m.spot ? 1 : 0, cached ? 0 : partRoom(m.via), -(m.cpus - m.used.cpus)];
     if (best === null || later(score, bestScore)) {
       best = m;
