--- a/src/core/budget.ts
+++ b/src/core/budget.ts
@@ -8,12 +8,20 @@
   private closedUntil: Instant | null = null;
 
   constructor(
-    private readonly perSecond: number,
-    private readonly burst = Math.max(1, perSecond),
+    private perSecond: number,
+    private burst = Math.max(1, perSecond),
   ) {
     this.tokens = this.burst;
   }
 
+  /** Another share of the rate, from now on. */
+  setRate(now: Instant, perSecond: number): void {
+    this.fill(now);
+    this.perSecond = perSecond;
+    this.burst = Math.max(1, perSecond);
+    this.tokens = Math.min(this.tokens, this.burst);
+  }
+
   private fill(now: Instant): void {
     if (this.filled !== null)
       this.tokens = Math.min(this.burst, this.tokens + ((now - this.filled) / 1000) * this.perSecond);
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,7 +1,10 @@
-/** The leader's picture: jobs, machines, and which task may be where. */
+/**
+ * The leader's picture: jobs, machines, and which task may be where. Its indices are kept in step by the functions
+ * here, so that a decision looks only at what changed or what waits; the tests check each against a recount.
+ */
 import { type Instant } from "./time.js";
 import { RangeSet } from "./ranges.js";
-import type { JobSpec, MachineRecord, TaskState, Why } from "./records.js";
+import { type JobSpec, type MachineRecord, RANK, type TaskState, type Why } from "./records.js";
 import type { Usage } from "./quota.js";
 
 /** A task that is, or may be, on a machine. While one exists, the task is started nowhere else. */
@@ -26,13 +29,18 @@
   readonly seen: Instant;
   /** Revision of the job record: a job younger than the leader's own key was never in an older leader's hands. */
   readonly stamp: number;
+  /** Tasks that are finished: stored as ranges, or shown as done by a worker. */
   readonly done: RangeSet;
+  /** Those of them that are stored: only they may be reaped. */
+  readonly stored: RangeSet;
+  /** Tasks to be started: not done, and nothing holds them. Changed only by the functions here. */
   readonly pending: RangeSet;
   readonly holds: Map<number, Hold[]>;
   readonly errorsOn: Map<string, Instant>;
   retryAt: Instant | null;
   committing: boolean;
-  gangAttempt: number;
+  /** Tasks that run or save right now. */
+  running: number;
 }
 
 export interface Machine {
@@ -47,17 +55,20 @@
   cacheGb: number;
   session: number;
   seq: number;
+  /** The highest token that it was seen to know. */
   token: number;
+  /** How often its own token was raised within this term, to settle unanswered starts. */
+  step: number;
   /** The member that last passed on a report. */
   via: string | null;
   noticeUntil: Instant | null;
   /** Stored in the state service: only then may something be started on it. */
-  recorded: boolean;
+  readonly recorded: boolean;
   recording: boolean;
   /** Reported under this term's token: its picture is complete. */
-  confirmed: boolean;
-  /** When it last reported, or was answered as a member vouches; null: not since this leader began. */
-  heard: Instant | null;
+  readonly confirmed: boolean;
+  /** When a newer message of its worker came last; null: none since this leader began. */
+  readonly heard: Instant | null;
   created: Instant;
   failed: boolean;
   releasing: Instant | null;
@@ -69,10 +80,13 @@
   draining: boolean;
   inFlight: boolean;
   probedAt: Instant | null;
-  /** Questions without an answer since the last report. */
+  /** Direct questions and orders without an answer, and since when: reports alone don't reset them. */
   unanswered: number;
+  mute: Instant | null;
   readonly used: { cpus: number; gpus: number; memoryGb: number };
   readonly holds: Map<string, Hold>;
+  /** How many tasks of each class it holds. */
+  readonly classes: Map<string, number>;
   readonly images: Map<string, number>;
 }
 
@@ -80,26 +94,62 @@
   readonly jobs: Map<string, Job>;
   readonly machines: Map<string, Machine>;
   readonly usage: Map<string, Usage>;
+  /** Jobs with tasks to be started. */
+  readonly waiting: Set<Job>;
+  /** Jobs that are finished and have no commit yet. */
+  readonly covered: Set<Job>;
+  /** Machines with room. */
+  readonly free: Set<Machine>;
+  /** Machines about which something is to be tidied up: tasks to stop or to forget, notices, drains. */
+  readonly attention: Set<Machine>;
+  /** Recorded machines that may hold tasks this leader doesn't know of. */
+  readonly unconfirmed: Set<Machine>;
+  /** Machines heard of that have no record yet. */
+  readonly unrecorded: Set<Machine>;
+  /** Machines that this leader heard, the longest silent first. */
+  readonly hearing: Set<Machine>;
+  /** Machines that don't answer direct questions. */
+  readonly mute: Set<Machine>;
+  /** Starts without an answer. */
+  readonly doubts: Set<Hold>;
+  /** Tasks whose job record isn't known, by job, and their machines. */
+  readonly strays: Map<string, Set<Hold>>;
+  readonly strayOn: Map<Machine, number>;
+  /** How many tasks of each class are, or may be, on machines; the same by rank. */
+  readonly classes: Map<string, number>;
+  readonly ranks: number[];
+  /** The latest starts, oldest first: what was started last costs the least to stop. */
+  readonly started: Hold[];
+  /** Grows whenever a waiting task might fit where it didn't before. */
+  chances: number;
+  /** Grows whenever jobs come or go. */
+  jobChanges: number;
+  /** Called when a job's finished or running tasks change. */
+  progressed: (job: Job) => void;
 }
 
-export const newCluster = (): Cluster => ({ jobs: new Map(), machines: new Map(), usage: new Map() });
-
-export const newJob = (spec: JobSpec, seen: Instant, stamp: number): Job => {
-  const pending = new RangeSet();
-  pending.add(0, spec.tasks);
-  return {
-    spec,
-    seen,
-    stamp,
-    done: new RangeSet(),
-    pending,
-    holds: new Map(),
-    errorsOn: new Map(),
-    retryAt: null,
-    committing: false,
-    gangAttempt: 0,
-  };
-};
+export const newCluster = (): Cluster => ({
+  jobs: new Map(),
+  machines: new Map(),
+  usage: new Map(),
+  waiting: new Set(),
+  covered: new Set(),
+  free: new Set(),
+  attention: new Set(),
+  unconfirmed: new Set(),
+  unrecorded: new Set(),
+  hearing: new Set(),
+  mute: new Set(),
+  doubts: new Set(),
+  strays: new Map(),
+  strayOn: new Map(),
+  classes: new Map(),
+  ranks: [0, 0, 0, 0],
+  started: [],
+  chances: 0,
+  jobChanges: 0,
+  progressed: () => undefined,
+});
 
 export const newMachine = (id: string, record: MachineRecord, now: Instant): Machine => ({
   id,
@@ -114,6 +164,7 @@
   session: 0,
   seq: 0,
   token: 0,
+  step: 0,
   via: null,
   noticeUntil: null,
   recorded: false,
@@ -130,8 +181,10 @@
   inFlight: false,
   probedAt: null,
   unanswered: 0,
+  mute: null,
   used: { cpus: 0, gpus: 0, memoryGb: 0 },
   holds: new Map(),
+  classes: new Map(),
   images: new Map(),
 });
 
@@ -140,9 +193,153 @@
 /** Whether a hold takes room on its machine, and of its team's limit. */
 export const occupies = (hold: Hold): boolean => hold.state !== "exited" || hold.doubt !== null;
 
+const runs = (hold: Hold): boolean => hold.state === "running" || hold.state === "saving";
+
+// --- machines ---------------------------------------------------------------------------------------------
+
+type Writable<T> = { -readonly [K in keyof T]: T[K] };
+
+/** Puts a machine into the indices that follow from its own fields. */
+const index = (cluster: Cluster, m: Machine): void => {
+  const put = (set: Set<Machine>, member: boolean): void => void (member ? set.add(m) : set.delete(m));
+  put(cluster.unconfirmed, m.recorded && !m.confirmed);
+  put(cluster.unrecorded, !m.recorded && m.heard !== null);
+  put(cluster.free, m.cpus - m.used.cpus > 1e-6 && m.memoryGb - m.used.memoryGb > 1e-6);
+};
+
+export const addMachine = (cluster: Cluster, m: Machine): void => {
+  cluster.machines.set(m.id, m);
+  index(cluster, m);
+};
+
+export const setMachine = (
+  cluster: Cluster,
+  m: Machine,
+  change: Partial<Pick<Machine, "recorded" | "confirmed" | "cpus" | "gpus" | "memoryGb" | "cacheGb">>,
+): void => {
+  Object.assign(m, change);
+  index(cluster, m);
+  cluster.attention.add(m);
+  cluster.chances++;
+};
+
+/** A newer message of its worker came at `at`. */
+export const heardOf = (cluster: Cluster, m: Machine, at: Instant): void => {
+  if (m.heard !== null && at <= m.heard) return;
+  const first = m.heard === null;
+  (m as Writable<Machine>).heard = at;
+  cluster.hearing.delete(m);
+  cluster.hearing.add(m);
+  if (first) {
+    index(cluster, m);
+    cluster.attention.add(m);
+    cluster.chances++;
+  }
+};
+
+/** Counts a direct question without an answer, or forgets them all once there is one. */
+export const answeredDirectly = (cluster: Cluster, m: Machine, answered: boolean, now: Instant): void => {
+  if (answered) {
+    if (m.unanswered > 0) cluster.chances++;
+    m.unanswered = 0;
+    m.mute = null;
+    cluster.mute.delete(m);
+  } else {
+    m.unanswered++;
+    m.mute ??= now;
+    cluster.mute.add(m);
+  }
+};
+
+export const dropMachine = (cluster: Cluster, m: Machine): void => {
+  for (const hold of [...m.holds.values()]) removeHold(cluster, hold);
+  cluster.machines.delete(m.id);
+  for (const set of [
+    cluster.free,
+    cluster.attention,
+    cluster.unconfirmed,
+    cluster.unrecorded,
+    cluster.hearing,
+    cluster.mute,
+  ])
+    set.delete(m);
+  cluster.strayOn.delete(m);
+};
+
+// --- jobs -------------------------------------------------------------------------------------------------
+
+export const addJob = (cluster: Cluster, spec: JobSpec, seen: Instant, stamp: number): Job => {
+  const pending = new RangeSet();
+  pending.add(0, spec.tasks);
+  const job: Job = {
+    spec,
+    seen,
+    stamp,
+    done: new RangeSet(),
+    stored: new RangeSet(),
+    pending,
+    holds: new Map(),
+    errorsOn: new Map(),
+    retryAt: null,
+    committing: false,
+    running: 0,
+  };
+  // adopt tasks that machines reported before the record was read
+  const strays = [...(cluster.strays.get(spec.id) ?? [])];
+  for (const hold of strays) removeHold(cluster, hold);
+  cluster.jobs.set(spec.id, job);
+  cluster.waiting.add(job);
+  cluster.jobChanges++;
+  cluster.chances++;
+  for (const hold of strays) addHold(cluster, { ...hold, spec });
+  return job;
+};
+
+export const dropJob = (cluster: Cluster, job: Job): void => {
+  cluster.jobs.delete(job.spec.id);
+  cluster.waiting.delete(job);
+  cluster.covered.delete(job);
+  cluster.jobChanges++;
+  for (const holds of job.holds.values())
+    for (const hold of holds) cluster.attention.add(cluster.machines.get(hold.machine)!);
+};
+
+const unpend = (cluster: Cluster, job: Job, n: number): void => {
+  job.pending.delete(n);
+  if (job.pending.size === 0) cluster.waiting.delete(job);
+};
+
+/** Something about a task's holds has changed: their machines are looked at. */
+export const tidyTask = (cluster: Cluster, job: Job, n: number): void => {
+  for (const hold of job.holds.get(n) ?? []) cluster.attention.add(cluster.machines.get(hold.machine)!);
+};
+
+/** These tasks are finished; nothing of them is to be started again. */
+export const finish = (cluster: Cluster, job: Job, from: number, to: number): void => {
+  if (to === from + 1 && job.done.has(from)) return;
+  job.done.add(from, to);
+  for (let n = from; n < to; n++) {
+    unpend(cluster, job, n);
+    tidyTask(cluster, job, n);
+  }
+  if (!job.committing && job.done.covers(job.spec.tasks)) cluster.covered.add(job);
+  cluster.progressed(job);
+};
+
+// --- holds ------------------------------------------------------------------------------------------------
+
+const count = <K>(map: Map<K, number>, key: K, by: 1 | -1): void => {
+  const n = (map.get(key) ?? 0) + by;
+  if (n <= 0) map.delete(key);
+  else map.set(key, n);
+};
+
 const account = (cluster: Cluster, machine: Machine, hold: Hold, sign: 1 | -1): void => {
   const spec = hold.spec;
-  if (spec === null) return;
+  if (spec === null) {
+    count(cluster.strayOn, machine, sign);
+    return;
+  }
   machine.used.cpus += sign * spec.cpus;
   machine.used.gpus += sign * spec.gpus;
   machine.used.memoryGb += sign * spec.memoryGb;
@@ -150,20 +347,38 @@
   usage.cpus += sign * spec.cpus;
   usage.gpus += sign * spec.gpus;
   cluster.usage.set(spec.team, usage);
+  count(machine.classes, spec.className, sign);
+  count(cluster.classes, spec.className, sign);
+  cluster.ranks[RANK[spec.priority]]! += sign;
+  if (sign < 0) cluster.chances++;
+  index(cluster, machine);
+};
+
+const countRunning = (cluster: Cluster, hold: Hold, by: 1 | -1): void => {
+  const job = cluster.jobs.get(hold.job);
+  if (job === undefined) return;
+  job.running += by;
+  cluster.progressed(job);
 };
 
 /** Changes a hold, keeping the room accounts and the job's pending tasks in step. */
 export const changeHold = (cluster: Cluster, hold: Hold, change: Partial<Hold>): void => {
   const machine = cluster.machines.get(hold.machine)!;
   const before = occupies(hold);
+  const ran = runs(hold);
   Object.assign(hold, change);
   const after = occupies(hold);
+  cluster.attention.add(machine);
+  if (hold.doubt !== null) cluster.doubts.add(hold);
+  else cluster.doubts.delete(hold);
+  if (ran !== runs(hold)) countRunning(cluster, hold, ran ? -1 : 1);
   if (before && !after) {
     account(cluster, machine, hold, -1);
     settle(cluster, hold);
   } else if (!before && after) {
     account(cluster, machine, hold, 1);
-    cluster.jobs.get(hold.job)?.pending.delete(hold.index);
+    const job = cluster.jobs.get(hold.job);
+    if (job !== undefined) unpend(cluster, job, hold.index);
   }
 };
 
@@ -174,24 +389,45 @@
   const holds = job.holds.get(hold.index) ?? [];
   if (holds.some((h) => occupies(h) || h.why === "done")) return;
   job.pending.add(hold.index);
+  cluster.waiting.add(job);
 };
 
 export const addHold = (cluster: Cluster, hold: Hold): void => {
   const machine = cluster.machines.get(hold.machine)!;
   machine.holds.set(holdKey(hold.job, hold.index, hold.attempt), hold);
+  machine.idleSince = null;
+  cluster.attention.add(machine);
+  if (hold.spec === null) {
+    const strays = cluster.strays.get(hold.job);
+    if (strays === undefined) cluster.strays.set(hold.job, new Set([hold]));
+    else strays.add(hold);
+  }
+  if (hold.doubt !== null) cluster.doubts.add(hold);
   if (occupies(hold)) account(cluster, machine, hold, 1);
+  if (runs(hold)) countRunning(cluster, hold, 1);
   const job = cluster.jobs.get(hold.job);
   if (job === undefined) return;
   const holds = job.holds.get(hold.index);
   if (holds === undefined) job.holds.set(hold.index, [hold]);
-  else holds.push(hold);
-  if (occupies(hold) || hold.why === "done") job.pending.delete(hold.index);
+  else {
+    holds.push(hold);
+    tidyTask(cluster, job, hold.index);
+  }
+  if (occupies(hold) || hold.why === "done") unpend(cluster, job, hold.index);
 };
 
 export const removeHold = (cluster: Cluster, hold: Hold): void => {
   const machine = cluster.machines.get(hold.machine)!;
   machine.holds.delete(holdKey(hold.job, hold.index, hold.attempt));
+  cluster.attention.add(machine);
+  cluster.doubts.delete(hold);
+  if (hold.spec === null) {
+    const strays = cluster.strays.get(hold.job);
+    strays?.delete(hold);
+    if (strays?.size === 0) cluster.strays.delete(hold.job);
+  }
   if (occupies(hold)) account(cluster, machine, hold, -1);
+  if (runs(hold)) countRunning(cluster, hold, -1);
   const job = cluster.jobs.get(hold.job);
   if (job === undefined) return;
   const rest = (job.holds.get(hold.index) ?? []).filter((h) => h !== hold);
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -5,7 +5,7 @@
 import type { Cluster, Job, Machine } from "./cluster.js";
 import { occupies } from "./cluster.js";
 import type { JobSpec, MachineType } from "./records.js";
-import { allowed, freeRoom, type Room, slots } from "./placement.js";
+import { allowed, freeRoom, type Room, slots, takeRoom } from "./placement.js";
 
 export interface Offer {
   readonly type: MachineType;
@@ -29,6 +29,8 @@
 }
 
 const REFUSED_FOR = Duration.seconds(15);
+/** The cloud rents no more in one request. */
+const MAX_PER_RENTAL = 50;
 
 /** Remembers refusals, arrivals and requests under way. Pure: time comes in as an argument. */
 export class Fleet {
@@ -78,6 +80,7 @@
       if (type === undefined) continue;
       const booting =
         m.heard === null &&
+        m.confirmed &&
         m.releasing === null &&
         !m.failed &&
         !passed(now, m.created, Duration.times(type.boot, 2));
@@ -85,24 +88,23 @@
       const room = booting ? { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb } : freeRoom(m);
       const short: Room = { cpus: 0, gpus: 0, memoryGb: 0 };
       for (const hold of m.holds.values())
-        if (hold.spec !== null && hold.spec.kind !== "service" && occupies(hold)) {
-          short.cpus += hold.spec.cpus * this.options.reuse;
-          short.gpus += hold.spec.gpus * this.options.reuse;
-          short.memoryGb += hold.spec.memoryGb * this.options.reuse;
-        }
+        if (hold.spec !== null && hold.spec.kind !== "service" && occupies(hold))
+          takeRoom(hold.spec, short, -this.options.reuse);
+      if (room.cpus <= 1e-6 && short.cpus <= 1e-6) continue;
       rooms.push({ type: m.type, zone: m.zone, spot: m.spot, room, short });
     }
-    for (const { offer, count } of this.asked.values())
-      for (let i = 0; i < count; i++) {
-        const { cpus, gpus, memoryGb } = offer.type;
+    const coming = (offer: Offer, count: number): void => {
+      const { cpus, gpus, memoryGb, name } = offer.type;
+      for (let i = 0; i < count; i++)
         rooms.push({
-          type: offer.type.name,
+          type: name,
           zone: offer.zone,
           spot: offer.spot,
           room: { cpus, gpus, memoryGb },
           short: { cpus: 0, gpus: 0, memoryGb: 0 },
         });
-      }
+    };
+    for (const { offer, count } of this.asked.values()) coming(offer, count);
 
     const out: Rent[] = [];
     const take = (spec: JobSpec, tasks: number, useShort: boolean): number => {
@@ -112,9 +114,7 @@
         if (!allowed(spec, r)) continue;
         for (const room of useShort ? [r.room, r.short] : [r.room]) {
           const n = Math.min(left, slots(spec, room));
-          room.cpus -= n * spec.cpus;
-          room.gpus -= n * spec.gpus;
-          room.memoryGb -= n * spec.memoryGb;
+          takeRoom(spec, room, n);
           left -= n;
         }
       }
@@ -126,17 +126,7 @@
       const offer = this.cheapest(types, spec, left, now);
       if (offer === null) return;
       out.push(offer);
-      for (let i = 0; i < offer.count; i++) {
-        const { cpus, gpus, memoryGb } = offer.type;
-        const room = { cpus, gpus, memoryGb };
-        rooms.push({
-          type: offer.type.name,
-          zone: offer.zone,
-          spot: offer.spot,
-          room,
-          short: { cpus: 0, gpus: 0, memoryGb: 0 },
-        });
-      }
+      coming(offer, offer.count);
       take(spec, left, false);
     };
     for (const { job, tasks } of queue) want(job.spec, tasks, job.spec.kind === "array");
@@ -167,7 +157,7 @@
     for (const offer of this.offers(types, spec, now)) {
       const { type, spot } = offer;
       const each = slots(spec, type);
-      const count = Math.min(10, Math.ceil(tasks / each));
+      const count = Math.min(MAX_PER_RENTAL, Math.ceil(tasks / each));
       const price = spot ? type.spotPrice : type.price;
       const cost = (price * count) / Math.min(tasks, each * count);
       if (cost < bestCost - 1e-9) {
@@ -202,9 +192,7 @@
         if (!allowed(spec, m)) continue;
         const n = Math.min(left, slots(spec, room));
         if (n <= 0) continue;
-        room.cpus -= n * spec.cpus;
-        room.gpus -= n * spec.gpus;
-        room.memoryGb -= n * spec.memoryGb;
+        takeRoom(spec, room, n);
         left -= n;
         needed.add(m.id);
       }
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -1,12 +1,13 @@
 /**
- * A member's part: which workers it takes in, when it last answered them, which finishes are still to be
+ * A member's part: which workers it takes in, when it last heard and answered them, which finishes are still to be
  * stored, and what the leader has not heard yet. Pure: events in, decisions out.
  */
 import * as Duration from "effect/Duration";
 import { type Range, RangeSet, windows } from "./ranges.js";
 import { type Instant, passed } from "./time.js";
 import { keys, type TermRecord, type WorkerReport } from "./records.js";
-import { ownerOf } from "./term.js";
+import type { OrderOutcome } from "./scheduler.js";
+import { answerToken, ownerOf } from "./term.js";
 
 export type BeatAnswer =
   { kind: "taken"; token: number } | { kind: "elsewhere"; member: string | null } | { kind: "unsure" };
@@ -14,10 +15,20 @@
 interface Finishes {
   readonly known: RangeSet;
   readonly stored: RangeSet;
+  /** Stored, and the leader has not heard of it. */
+  untold: RangeSet;
   /** What the last successful write of each chunk held. */
   readonly written: Map<number, string>;
+  /** Since when a finish waits to be stored. */
+  since: Instant | null;
   writing: boolean;
-  told: boolean;
+}
+
+interface Worker {
+  report: WorkerReport | null;
+  signature: string;
+  heardAt: Instant | null;
+  answeredAt: Instant | null;
 }
 
 /** A report and how long ago it came: after a new term old ones are told anew, and must not pass for fresh. */
@@ -25,6 +36,23 @@
   readonly report: WorkerReport;
   readonly ageMs: number;
 }
+/** How long ago a worker was last answered, and last sent something newer than before; negative: never. */
+export interface Seen {
+  readonly machine: string;
+  readonly answeredMs: number;
+  readonly heardMs: number;
+}
+/** What became of an order batch of the leader's. */
+export interface Outcome {
+  readonly id: number;
+  readonly outcome: OrderOutcome;
+}
+export interface News {
+  readonly reports: readonly AgedReport[];
+  readonly seen: readonly Seen[];
+  readonly stored: readonly { job: string; ranges: readonly Range[] }[];
+  readonly outcomes: readonly Outcome[];
+}
 
 export interface Writing {
   readonly job: string;
@@ -32,30 +60,58 @@
 }
 
 const COMES_BACK_WITHIN = Duration.seconds(30);
+const GIVE_UP_AFTER = Duration.seconds(30);
 const MAX_JOBS = 20_000;
+const MAX_SENT_AWAY = 5000;
 
 export class Part {
   term: TermRecord | null = null;
-  readonly answeredAt = new Map<string, Instant>();
+  private readonly workers = new Map<string, Worker>();
   private readonly sentAway = new Map<string, Instant>();
   private readonly takenIn = new Map<string, number>();
-  private readonly reports = new Map<string, { report: WorkerReport; at: Instant }>();
+  /** Workers whose report the leader has not heard; the same for when they were heard and answered. */
   private readonly unsent = new Set<string>();
-  private readonly signatures = new Map<string, string>();
+  private readonly touched = new Set<string>();
   private readonly finishes = new Map<string, Finishes>();
+  private readonly unstored = new Set<string>();
+  private readonly untold = new Set<string>();
+  private outcomes: Outcome[] = [];
 
   constructor(
     readonly member: string,
     private readonly valueBytes: number,
+    /** How long a finish may wait for others of its job before it is stored. */
+    private readonly gather: Duration.Duration,
   ) {}
 
-  /** A new term: the leader is told everything anew. */
+  /** A new term. Another leader, or one that takes this process for another, is told everything anew. */
   setTerm(term: TermRecord): void {
+    const incarnation = (t: TermRecord | null): number | undefined =>
+      t?.members.find((m) => m.name === this.member)?.incarnation;
+    const same = this.term?.key === term.key && incarnation(this.term) === incarnation(term);
     this.term = term;
     this.takenIn.clear();
     this.sentAway.clear();
-    for (const machine of this.reports.keys()) this.unsent.add(machine);
-    for (const finish of this.finishes.values()) finish.told = false;
+    if (same) return;
+    this.outcomes = [];
+    for (const [machine, w] of this.workers) {
+      this.touched.add(machine);
+      if (w.report !== null) this.unsent.add(machine);
+    }
+    for (const [job, f] of this.finishes)
+      if (f.stored.size > 0) {
+        f.untold = RangeSet.of(f.stored.ranges());
+        this.untold.add(job);
+      }
+  }
+
+  private worker(machine: string): Worker {
+    let w = this.workers.get(machine);
+    if (w === undefined) {
+      w = { report: null, signature: "", heardAt: null, answeredAt: null };
+      this.workers.set(machine, w);
+    }
+    return w;
   }
 
   /** A worker's own report. `entitled`: this node's fence window is open. */
@@ -69,71 +125,91 @@
       const away = this.sentAway.get(r.machine);
       if (away === undefined || passed(now, away, COMES_BACK_WITHIN)) {
         this.sentAway.set(r.machine, now);
-        if (this.sentAway.size > 1000) this.sentAway.delete(this.sentAway.keys().next().value!);
+        if (this.sentAway.size > MAX_SENT_AWAY) this.sentAway.delete(this.sentAway.keys().next().value!);
         return { kind: "elsewhere", member: owner.name };
       }
       // it came back: it can't reach the part's member, so it is taken in
       this.takenIn.set(r.machine, term.token);
     }
     this.take(r, now);
-    this.answeredAt.set(r.machine, now);
-    return { kind: "taken", token: term.token };
+    // a late copy is answered as well, and the proof by time must reckon with that; it is no sign of life
+    this.worker(r.machine).answeredAt = now;
+    this.touched.add(r.machine);
+    return { kind: "taken", token: answerToken(term.token, r.token) };
   }
 
   /** A report from a beat or from the answer to orders. */
   take(r: WorkerReport, now: Instant): void {
-    const last = this.reports.get(r.machine)?.report;
-    if (last !== undefined && (r.session < last.session || (r.session === last.session && r.seq <= last.seq)))
+    const w = this.worker(r.machine);
+    const last = w.report;
+    if (last !== null && (r.session < last.session || (r.session === last.session && r.seq <= last.seq)))
       return;
-    this.reports.set(r.machine, { report: r, at: now });
+    w.report = r;
+    w.heardAt = now;
+    this.touched.add(r.machine);
     const signature = `${r.session} ${r.token} ${r.noticeS !== null} ${r.addr} ${r.tasks
       .map((t) => `${t.job}/${t.index}#${t.attempt}${t.state}${t.why ?? ""}`)
       .join(" ")}`;
-    if (this.signatures.get(r.machine) !== signature) {
-      this.signatures.set(r.machine, signature);
+    if (w.signature !== signature) {
+      w.signature = signature;
       this.unsent.add(r.machine);
     }
-    for (const t of r.tasks) if (t.state === "exited" && t.why === "done") this.finished(t.job, t.index);
+    for (const t of r.tasks) if (t.state === "exited" && t.why === "done") this.finished(t.job, t.index, now);
   }
 
-  private finished(job: string, index: number): void {
+  private finished(job: string, index: number, now: Instant): void {
     let f = this.finishes.get(job);
     if (f === undefined) {
       if (this.finishes.size >= MAX_JOBS) return;
-      f = { known: new RangeSet(), stored: new RangeSet(), written: new Map(), writing: false, told: true };
+      f = {
+        known: new RangeSet(),
+        stored: new RangeSet(),
+        untold: new RangeSet(),
+        written: new Map(),
+        since: null,
+        writing: false,
+      };
       this.finishes.set(job, f);
     }
-    if (!f.known.has(index)) f.known.add(index);
+    if (f.known.has(index)) return;
+    f.known.add(index);
+    f.since ??= now;
+    this.unstored.add(job);
   }
 
   /** The job has its commit, or its record is gone: its finishes are of no more use. */
   jobOver(job: string): void {
     this.finishes.delete(job);
+    this.unstored.delete(job);
+    this.untold.delete(job);
   }
 
   /** Forgets workers that have not come for long. */
   prune(now: Instant, after: Duration.Duration): void {
-    for (const [machine, at] of this.answeredAt)
-      if (passed(now, at, after)) {
-        this.answeredAt.delete(machine);
-        this.reports.delete(machine);
-        this.signatures.delete(machine);
-        this.unsent.delete(machine);
-      }
-  }
-
-  hasUnstored(): boolean {
-    for (const f of this.finishes.values()) if (!f.writing && f.known.size > f.stored.size) return true;
-    return false;
+    for (const [machine, w] of this.workers) {
+      const last = Math.max(w.answeredAt ?? 0, w.heardAt ?? 0) as Instant;
+      if (!passed(now, last, after)) continue;
+      this.workers.delete(machine);
+      this.unsent.delete(machine);
+      this.touched.delete(machine);
+    }
   }
 
-  /** Finishes to be stored now, at most `most` puts; each job's writes are under way until answered. */
-  toStore(writer: string, most: number): Writing[] {
+  /**
+   * Finishes to be stored now, at most `most` puts; each job's writes are under way until answered. Those of jobs that
+   * aren't open (over, or not heard of yet) wait, and are given up in the end.
+   */
+  toStore(writer: string, most: number, now: Instant, isOpen: (job: string) => boolean): Writing[] {
     const out: Writing[] = [];
     let room = most;
-    for (const [job, f] of this.finishes) {
+    for (const job of this.unstored) {
       if (room <= 0) break;
-      if (f.writing || f.known.size === f.stored.size) continue;
+      const f = this.finishes.get(job)!;
+      if (f.writing || f.since === null || !passed(now, f.since, this.gather)) continue;
+      if (!isOpen(job)) {
+        if (passed(now, f.since, GIVE_UP_AFTER)) this.jobOver(job);
+        continue;
+      }
       const puts: Writing["puts"] = [];
       for (const [chunk, ranges] of windows(f.known.ranges(), this.valueBytes)) {
         const text = JSON.stringify(ranges);
@@ -149,48 +225,74 @@
   }
 
   /** The answer to one job's writes; `over`: its commit record exists. */
-  storeAnswered(w: Writing, result: "stored" | "over" | "failed"): void {
+  storeAnswered(w: Writing, result: "stored" | "over" | "failed", now: Instant): void {
     const f = this.finishes.get(w.job);
     if (f === undefined) return;
     f.writing = false;
-    if (result === "over") this.finishes.delete(w.job);
+    if (result === "over") this.jobOver(w.job);
     if (result !== "stored") return;
-    f.told = false;
     for (const put of w.puts) {
       f.written.set(put.chunk, put.text);
-      for (const [from, to] of put.ranges) f.stored.add(from, to);
+      for (const [from, to] of put.ranges)
+        for (let n = from; n < to; n++)
+          if (!f.stored.has(n)) {
+            f.stored.add(n);
+            f.untold.add(n);
+          }
     }
+    this.untold.add(w.job);
+    f.since = f.known.size > f.stored.size ? now : null;
+    if (f.since === null) this.unstored.delete(w.job);
+  }
+
+  ordersDone(id: number, outcome: OrderOutcome): void {
+    this.outcomes.push({ id, outcome });
   }
 
-  /** What the leader has not heard yet. What isn't delivered is put back with `untold`. */
-  news(now: Instant): { reports: AgedReport[]; stored: { job: string; ranges: Range[] }[] } {
+  /** What the leader has not heard yet. What isn't delivered is put back with `putBack`. */
+  news(now: Instant, mostReports = Infinity): News {
     const reports: AgedReport[] = [];
     for (const machine of this.unsent) {
-      const held = this.reports.get(machine);
-      if (held !== undefined) reports.push({ report: held.report, ageMs: Math.max(0, now - held.at) });
+      if (reports.length >= mostReports) break;
+      this.unsent.delete(machine);
+      const w = this.workers.get(machine);
+      if (w?.report != null) reports.push({ report: w.report, ageMs: Math.max(0, now - (w.heardAt ?? now)) });
     }
-    this.unsent.clear();
+    const age = (at: Instant | null): number => (at === null ? -1 : Math.max(0, now - at));
+    const seen: Seen[] = [];
+    for (const machine of this.touched) {
+      const w = this.workers.get(machine);
+      if (w !== undefined) seen.push({ machine, answeredMs: age(w.answeredAt), heardMs: age(w.heardAt) });
+    }
+    this.touched.clear();
     const stored: { job: string; ranges: Range[] }[] = [];
-    for (const [job, f] of this.finishes)
-      if (!f.told && f.stored.size > 0) {
-        f.told = true;
-        stored.push({ job, ranges: f.stored.ranges() });
-      }
-    return { reports, stored };
+    for (const job of this.untold) {
+      const f = this.finishes.get(job);
+      if (f === undefined) continue;
+      stored.push({ job, ranges: f.untold.ranges() });
+      f.untold = new RangeSet();
+    }
+    this.untold.clear();
+    const outcomes = this.outcomes;
+    this.outcomes = [];
+    return { reports, seen, stored, outcomes };
   }
 
-  untold(news: { reports: readonly AgedReport[]; stored: readonly { job: string }[] }): void {
+  putBack(news: News): void {
     for (const { report } of news.reports)
-      if (this.reports.has(report.machine)) this.unsent.add(report.machine);
-    for (const { job } of news.stored) {
+      if (this.workers.has(report.machine)) this.unsent.add(report.machine);
+    for (const { machine } of news.seen) if (this.workers.has(machine)) this.touched.add(machine);
+    for (const { job, ranges } of news.stored) {
       const f = this.finishes.get(job);
-      if (f !== undefined) f.told = false;
+      if (f === undefined) continue;
+      for (const [from, to] of ranges) f.untold.add(from, to);
+      this.untold.add(job);
     }
+    this.outcomes = [...news.outcomes, ...this.outcomes];
   }
 
+  /** Whether there is something that the leader waits for; signs of life alone can wait. */
   hasNews(): boolean {
-    if (this.unsent.size > 0) return true;
-    for (const f of this.finishes.values()) if (!f.told && f.stored.size > 0) return true;
-    return false;
+    return this.unsent.size > 0 || this.untold.size > 0 || this.outcomes.length > 0;
   }
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -32,12 +32,30 @@
     ),
   );
 
+export const takeRoom = (spec: JobSpec, room: Room, tasks: number): void => {
+  room.cpus -= tasks * spec.cpus;
+  room.gpus -= tasks * spec.gpus;
+  room.memoryGb -= tasks * spec.memoryGb;
+};
+
 /** Whether the job's own wishes allow this machine, other tasks aside. */
 export const allowed = (spec: JobSpec, m: { type: string; zone: string; spot: boolean }): boolean =>
   (spec.types === null || spec.types.includes(m.type)) && allowsZone(spec, m.zone) && (spec.spot || !m.spot);
 
+/** Where no task of `failed` could go, none of `spec` can: it wants as much, and may go nowhere else. */
+export const noEasier = (spec: JobSpec, failed: JobSpec): boolean =>
+  failed.cpus <= spec.cpus &&
+  failed.gpus <= spec.gpus &&
+  failed.memoryGb <= spec.memoryGb &&
+  (failed.spot || !spec.spot) &&
+  failed.types === null &&
+  failed.zone === null;
+
 const ERROR_MEMORY = Duration.seconds(60);
 
+/** Direct questions without an answer after which a machine gets no new work. */
+const MUTE_AFTER = 2;
+
 /** Machines whose reports are fresh and that may be given new work. */
 export const usable = (m: Machine, now: Instant, freshFor: Duration.Duration): boolean =>
   m.recorded &&
@@ -49,6 +67,7 @@
   !m.draining &&
   m.cpus > 0 &&
   m.addr !== null &&
+  m.unanswered < MUTE_AFTER &&
   m.heard !== null &&
   !passed(now, m.heard, freshFor);
 
@@ -64,83 +83,136 @@
   return zones;
 };
 
+/** Whether the job's tasks are told apart by zone. */
+export const zoned = (spec: JobSpec): boolean => spec.oneZone || spec.spread;
+
 /** Zone rules given the other tasks of the job at this moment. */
-export const zoneAllows = (cluster: Cluster, job: Job, zone: string): boolean => {
+const zoneRule = (cluster: Cluster, job: Job): ((zone: string) => boolean) => {
   const { spec } = job;
-  if (!spec.oneZone && !spec.spread) return true;
+  if (!zoned(spec)) return () => true;
   const zones = zonesInUse(cluster, job);
-  if (spec.oneZone && [...zones.keys()].some((z) => z !== zone)) return false;
-  return !spec.spread || (zones.get(zone) ?? 0) < Math.ceil(spec.tasks / 2);
+  return (zone) =>
+    !(spec.oneZone && [...zones.keys()].some((z) => z !== zone)) &&
+    !(spec.spread && (zones.get(zone) ?? 0) >= Math.ceil(spec.tasks / 2));
 };
 
-const sameClass = (m: Machine, spec: JobSpec): number => {
-  let n = 0;
-  for (const hold of m.holds.values()) if (hold.spec?.className === spec.className && occupies(hold)) n++;
-  return n;
+const failedHere = (job: Job, m: Machine, now: Instant): boolean => {
+  const at = job.errorsOn.get(m.id);
+  return at !== undefined && !passed(now, at, ERROR_MEMORY);
 };
 
 /** How many replicas of a class one machine should hold, so that its loss costs a small part of them. */
 const fairShare = (cluster: Cluster, spec: JobSpec): number => {
-  let replicas = 0;
-  for (const m of cluster.machines.values()) replicas += sameClass(m, spec);
-  return Math.max(2, Math.ceil(replicas * 0.15));
+  const all = cluster.classes.get(spec.className) ?? 0;
+  return Math.max(2, Math.ceil(Math.min(all * 0.15, (3 * all) / Math.max(1, cluster.hearing.size))));
 };
 
 /**
  * The design's companion: cached image first, else the roomiest part. Among equals, replicas go where the
- * fewest of their class are, so that one machine's loss costs little; other tasks fill up the fullest machine,
- * so that idle ones can be returned, and prefer spot, which services can't use.
+ * fewest of their class and of their own job are, so that the loss of a machine or a zone costs little; other tasks
+ * fill up the fullest machine, so that idle ones can be returned, and prefer spot, which services can't use.
  */
+const scorer = (
+  cluster: Cluster,
+  job: Job,
+  partRoom: (via: string | null) => number,
+): ((m: Machine) => number[]) => {
+  const { spec } = job;
+  if (spec.kind !== "service")
+    return (m) => {
+      const cached = m.images.has(spec.image);
+      return [cached ? 1 : 0, m.spot ? 1 : 0, cached ? 0 : partRoom(m.via), -(m.cpus - m.used.cpus)];
+    };
+  const most = fairShare(cluster, spec);
+  const zones = spec.tasks > 1 ? zonesInUse(cluster, job) : new Map<string, number>();
+  return (m) => {
+    const same = m.classes.get(spec.className) ?? 0;
+    return [
+      m.images.has(spec.image) ? 1 : 0,
+      same < most ? 1 : 0,
+      -(zones.get(m.zone) ?? 0),
+      -same / Math.max(1, m.cpus),
+      partRoom(m.via),
+      m.cpus - m.used.cpus,
+    ];
+  };
+};
+
+const compare = (a: readonly number[], b: readonly number[]): number => {
+  for (let i = 0; i < a.length; i++) if (a[i] !== b[i]) return b[i]! - a[i]!;
+  return 0;
+};
+
+const fitting = (
+  cluster: Cluster,
+  job: Job,
+  candidates: Iterable<Machine>,
+  now: Instant,
+): { m: Machine }[] => {
+  const zoneAllows = zoneRule(cluster, job);
+  const out: { m: Machine }[] = [];
+  for (const m of candidates)
+    if (fits(job.spec, freeRoom(m)) && allowed(job.spec, m) && zoneAllows(m.zone) && !failedHere(job, m, now))
+      out.push({ m });
+  return out;
+};
+
+/** The best machine for one task. */
 export const choose = (
   cluster: Cluster,
   job: Job,
-  candidates: readonly Machine[],
+  candidates: Iterable<Machine>,
   now: Instant,
   partRoom: (via: string | null) => number,
 ): Machine | null => {
-  const { spec } = job;
+  const score = scorer(cluster, job, partRoom);
   let best: Machine | null = null;
   let bestScore: number[] = [];
-  const most = spec.kind === "service" ? fairShare(cluster, spec) : 0;
-  for (const m of candidates) {
-    if (!allowed(spec, m) || !fits(spec, freeRoom(m)) || !zoneAllows(cluster, job, m.zone)) continue;
-    const failedHere = job.errorsOn.get(m.id);
-    if (failedHere !== undefined && !passed(now, failedHere, ERROR_MEMORY)) continue;
-    const cached = m.images.has(spec.image);
-    const score =
-      spec.kind === "service"
-        ? [
-            cached ? 1 : 0,
-            sameClass(m, spec) < most ? 1 : 0,
-            -sameClass(m, spec) / Math.max(1, m.cpus),
-            partRoom(m.via),
-            m.cpus - m.used.cpus,
-          ]
-        : [cached ? 1 : 0, m.spot ? 1 : 0, cached ? 0 : partRoom(m.via), -(m.cpus - m.used.cpus)];
-    if (best === null || later(score, bestScore)) {
+  for (const { m } of fitting(cluster, job, candidates, now)) {
+    const mine = score(m);
+    if (best === null || compare(mine, bestScore) < 0) {
       best = m;
-      bestScore = score;
+      bestScore = mine;
     }
   }
   return best;
 };
 
-const later = (a: readonly number[], b: readonly number[]): boolean => {
-  for (let i = 0; i < a.length; i++) if (a[i] !== b[i]) return a[i]! > b[i]!;
-  return false;
+/** Machines for many tasks of one array, scored once and then filled one after the other. */
+export const fill = (
+  cluster: Cluster,
+  job: Job,
+  candidates: Iterable<Machine>,
+  now: Instant,
+  partRoom: (via: string | null) => number,
+  tasks: number,
+): { machine: Machine; tasks: number }[] => {
+  const score = scorer(cluster, job, partRoom);
+  const rows = fitting(cluster, job, candidates, now).map(({ m }) => ({ m, score: score(m) }));
+  rows.sort((a, b) => compare(a.score, b.score));
+  const out: { machine: Machine; tasks: number }[] = [];
+  let left = tasks;
+  for (const { m } of rows) {
+    if (left <= 0) break;
+    const n = Math.min(left, slots(job.spec, freeRoom(m)));
+    out.push({ machine: m, tasks: n });
+    left -= n;
+  }
+  return out;
 };
 
 /** The cheapest set of tasks on one machine whose end makes room for one task of `job`. */
 export const victims = (
   cluster: Cluster,
   job: Job,
-  candidates: readonly Machine[],
+  candidates: Iterable<Machine>,
   now: Instant,
   mayStop: (hold: Hold) => boolean,
 ): { machine: Machine; holds: Hold[] } | null => {
   let best: { machine: Machine; holds: Hold[]; cost: number } | null = null;
+  const zoneAllows = zoneRule(cluster, job);
   for (const machine of candidates) {
-    if (!allowed(job.spec, machine) || !zoneAllows(cluster, job, machine.zone)) continue;
+    if (!allowed(job.spec, machine) || !zoneAllows(machine.zone)) continue;
     const room = freeRoom(machine);
     const options = [...machine.holds.values()]
       .filter((h) => h.spec !== null && occupies(h) && !h.stopping && h.doubt === null && mayStop(h))
--- /dev/null
+++ b/src/core/proof.ts
@@ -0,0 +1,92 @@
+/**
+ * Proof by time: without a report and without a release, a machine's old session is over once nobody can have
+ * answered its worker for a whole lease (S3 in docs/design.md).
+ */
+import * as Duration from "effect/Duration";
+import { type Machine, occupies, removeHold, setMachine } from "./cluster.js";
+import type { Scope } from "./scope.js";
+import { type Instant, passed, plus, stretched } from "./time.js";
+
+/** What a member vouches for: when it last answered each worker, as of an instant of the leader's clock. */
+interface Vouch {
+  readonly incarnation: number;
+  asOf: Instant | null;
+  readonly answered: Map<string, Instant>;
+}
+
+export class Proof {
+  private vouches = new Map<string, Vouch>();
+
+  constructor(private readonly scope: Scope) {
+    this.newTerm();
+  }
+
+  /** A process that stays a member goes on vouching: it told this same leader all that it answered. */
+  newTerm(): void {
+    const before = this.vouches;
+    this.vouches = new Map(
+      this.scope.term.members.map(({ name, incarnation }) => {
+        const old = before.get(name);
+        const same = old !== undefined && old.incarnation === incarnation;
+        return [name, same ? old : { incarnation, asOf: null, answered: new Map() }];
+      }),
+    );
+  }
+
+  /** A member's word on its part: which workers it answered since its last word, and when at the latest. */
+  vouched(
+    member: string,
+    incarnation: number,
+    token: number,
+    asOf: Instant | null,
+    answered: readonly { machine: string; at: Instant }[],
+  ): void {
+    const vouch = this.vouches.get(member);
+    if (token !== this.scope.term.token || vouch?.incarnation !== incarnation) return;
+    if (asOf !== null && (vouch.asOf === null || asOf > vouch.asOf)) vouch.asOf = asOf;
+    for (const { machine, at } of answered) {
+      const before = vouch.answered.get(machine);
+      if (before === undefined || at > before) vouch.answered.set(machine, at);
+    }
+  }
+
+  /** When a member last sent word; null: not in this term. */
+  lastWord(member: string): Instant | null {
+    return this.vouches.get(member)?.asOf ?? null;
+  }
+
+  forget(machine: string): void {
+    for (const vouch of this.vouches.values()) vouch.answered.delete(machine);
+  }
+
+  /** Gives up what machines held whose silence proves that it is over. */
+  step(now: Instant): void {
+    const { cluster, options } = this.scope;
+    const silent = new Set<Machine>();
+    for (const m of cluster.unconfirmed) if (m.heard === null) silent.add(m);
+    for (const m of cluster.hearing) {
+      if (!passed(now, m.heard!, options.spans.workerLease)) break;
+      silent.add(m);
+    }
+    for (const m of silent) {
+      const open = !m.confirmed || [...m.holds.values()].some(occupies);
+      if (open && this.isOver(m)) {
+        setMachine(cluster, m, { confirmed: true });
+        m.inFlight = false;
+        for (const hold of [...m.holds.values()]) removeHold(cluster, hold);
+      }
+    }
+  }
+
+  private isOver(m: Machine): boolean {
+    const { spans } = this.scope.options;
+    let last = plus(this.scope.termBegan, spans.fence);
+    for (const vouch of this.vouches.values()) {
+      const at = vouch.answered.get(m.id);
+      if (at !== undefined && at > last) last = at;
+    }
+    const over = plus(last, Duration.sum(stretched(spans.workerLease), Duration.seconds(1)));
+    for (const vouch of this.vouches.values()) if (vouch.asOf === null || vouch.asOf < over) return false;
+    return true;
+  }
+}
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -39,8 +39,10 @@
   readonly zone: string;
   readonly spot: boolean;
   readonly addr: string | null;
-  /** Whether something may have been started on it. false: rented, and only recorded so as not to be forgotten. */
-  readonly open: boolean;
+}
+/** Machines are recorded many to a record: few state writes a machine. */
+export interface MachinesRecord {
+  readonly machines: Readonly<Record<string, MachineRecord>>;
 }
 export interface RentalRecord {
   readonly type: string;
@@ -56,6 +58,8 @@
 }
 export interface TermRecord {
   readonly token: number;
+  /** Stamp of the leader's key: terms with the same one have the same leader, with all that it remembers. */
+  readonly key: number;
   readonly leader: string;
   readonly members: readonly TermMember[];
 }
@@ -131,8 +135,10 @@
   commit: (id: string) => `commit/${id}`,
   ranges: "ranges/",
   rangesOf: (id: string, writer: string, chunk: number) => `ranges/${id}/${writer}/${chunk}`,
-  machines: "machine/",
-  machine: (id: string) => `machine/${id}`,
+  machines: "machines/",
+  machinesOf: (block: string) => `machines/${block}`,
+  newsAll: "news/",
+  news: (member: string, piece: number) => `news/${member}/${piece}`,
   rentals: "rental/",
   rental: (name: string) => `rental/${name}`,
 };
--- /dev/null
+++ b/src/core/returns.ts
@@ -0,0 +1,152 @@
+/** Which machines go back to the cloud, and why; and which are drained so that they can. */
+import * as Duration from "effect/Duration";
+import { type Machine, occupies } from "./cluster.js";
+import { allowed, freeRoom, slots, takeRoom } from "./placement.js";
+import type { Proof } from "./proof.js";
+import type { Scope } from "./scope.js";
+import { movable } from "./tidy.js";
+import { type Instant, passed } from "./time.js";
+
+const REPEAT_AFTER = Duration.seconds(5);
+/** How many boot times a machine has to come up. */
+const BOOT_PATIENCE = 2.5;
+/** Questions without an answer that make up a machine's mind about it, while its reports go on. */
+const DEAF_AFTER = 3;
+/** Above this share of all machines, silence looks like a trouble of ours. */
+const MANY = 0.25;
+const DRAINED_AT_ONCE = 0.02;
+
+interface Silence {
+  readonly heard: number;
+  readonly silent: number;
+  readonly unheard: number;
+  readonly mute: number;
+}
+
+export class Returns {
+  constructor(
+    private readonly scope: Scope,
+    private readonly proof: Proof,
+  ) {}
+
+  /** Machines to be released now, by reason. */
+  step(now: Instant): Map<string, string[]> {
+    const { cluster } = this.scope;
+    const out = new Map<string, string[]>();
+    const silence = this.silence(now);
+    for (const m of cluster.machines.values()) {
+      if (m.releasing !== null && !passed(now, m.releasing, REPEAT_AFTER)) continue;
+      const why = this.reason(m, now, silence);
+      if (why !== null) (out.get(why) ?? out.set(why, []).get(why)!).push(m.id);
+    }
+    return out;
+  }
+
+  private silence(now: Instant): Silence {
+    const { cluster } = this.scope;
+    let silent = 0;
+    for (const m of cluster.hearing) {
+      if (!passed(now, m.heard!, this.scope.fresh)) break;
+      silent++;
+    }
+    let unheard = 0;
+    for (const m of cluster.unconfirmed) if (m.heard === null) unheard++;
+    return { heard: cluster.hearing.size, silent, unheard, mute: cluster.mute.size };
+  }
+
+  private reason(m: Machine, now: Instant, silence: Silence): string | null {
+    const { termBegan, fresh, cluster, options } = this.scope;
+    if (m.releasing !== null) return "repeat";
+    if (m.failed) return "failed";
+    const few = (n: number, of: number): boolean => n <= Math.max(2, of * MANY);
+    if (m.heard === null) {
+      if (m.confirmed) {
+        const boot = this.scope.typeByName.get(m.type)?.boot ?? Duration.seconds(60);
+        return passed(now, m.created, Duration.times(boot, BOOT_PATIENCE)) ? "never came up" : null;
+      }
+      // until it is gone, nothing that it may hold can start
+      const patience = !few(silence.unheard, cluster.machines.size)
+        ? Duration.times(options.spans.reportEvery, 5)
+        : Duration.times(options.spans.reportEvery, m.unanswered >= 2 ? 1.3 : 2.6);
+      return passed(now, termBegan, patience) ? "silent since take-over" : null;
+    }
+    if (passed(now, m.heard, fresh)) {
+      const silentFor = Math.min(now - m.heard, now - termBegan);
+      // a part whose member is silent too, or left, looks like a cut, not like a dead machine
+      const word = m.via === null ? null : this.proof.lastWord(m.via);
+      const cut = word === null || passed(now, word, Duration.seconds(4));
+      const soon = Duration.toMillis(fresh) + 1000;
+      // behind a cut its tasks go on until its lease ends; nothing is won by ending them much sooner
+      const patience = !few(silence.silent, silence.heard)
+        ? Math.max(40_000, Duration.toMillis(options.spans.workerLease))
+        : cut
+          ? Math.max(soon + 3000, Duration.toMillis(options.spans.workerLease) - 3000)
+          : m.unanswered >= 2
+            ? soon
+            : soon + 3000;
+      return silentFor >= patience ? "silent" : null;
+    }
+    // its reports arrive, but nothing that we say does: a release is what it needs, and the proof that it is over
+    if (m.mute !== null && m.unanswered >= DEAF_AFTER && few(silence.mute, silence.heard)) {
+      const since = Math.max(m.mute, termBegan) as Instant;
+      if (passed(now, since, Duration.times(options.spans.reportEvery, 2))) return "doesn't hear";
+    }
+    if (m.draining && m.holds.size === 0 && !m.inFlight) return "drained";
+    if (m.setAside !== null && ![...m.holds.values()].some(occupies)) return "fails tasks";
+    return null;
+  }
+
+  /**
+   * Replicas run for long, and a few of them keep a large machine from being returned. While nothing waits, the
+   * machines that cost the most for the least are drained, if all their replicas fit beside other running work where
+   * their image is cached already: the gap is then a stop and a start.
+   */
+  consolidate(now: Instant): void {
+    const { cluster } = this.scope;
+    const draining = [...cluster.machines.values()].filter((m) => m.draining);
+    if ([...cluster.waiting].some((j) => j.spec.kind !== "service")) {
+      for (const m of draining) m.draining = false;
+      if (draining.length > 0) cluster.chances++;
+      return;
+    }
+    if (draining.length >= Math.max(1, cluster.machines.size * DRAINED_AT_ONCE)) return;
+    const ready = [...cluster.hearing].filter((m) => this.scope.usable(m, now));
+    const price = (m: Machine): number => {
+      const type = this.scope.typeByName.get(m.type);
+      return type === undefined ? 0 : m.spot ? type.spotPrice : type.price;
+    };
+    const wasted = (m: Machine): number => price(m) * (1 - m.used.cpus / m.cpus);
+    const candidates = ready
+      .filter(
+        (m) =>
+          m.holds.size > 0 &&
+          m.used.cpus <= m.cpus / 2 &&
+          [...m.holds.values()].every((h) => movable(h, now)),
+      )
+      .sort((a, b) => wasted(b) - wasted(a))
+      .slice(0, 5);
+    const others = ready.filter((x) => cluster.free.has(x) && x.holds.size > 0);
+    for (const m of candidates) {
+      const rooms = others.filter((x) => x !== m).map((x) => ({ x, room: freeRoom(x) }));
+      const fit = [...m.holds.values()].every((hold) => {
+        const spec = hold.spec!;
+        const to = rooms.find(
+          ({ x, room }) =>
+            x.images.has(spec.image) &&
+            allowed(spec, x) &&
+            slots(spec, room) > 0 &&
+            cluster.jobs.has(hold.job) &&
+            !spec.oneZone &&
+            !spec.spread,
+        );
+        if (to === undefined) return false;
+        takeRoom(spec, to.room, 1);
+        return true;
+      });
+      if (!fit) continue;
+      m.draining = true;
+      cluster.attention.add(m);
+      return;
+    }
+  }
+}
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -7,51 +7,58 @@
 import { type Instant, passed, plus } from "./time.js";
 import {
   addHold,
+  addJob,
+  addMachine,
+  answeredDirectly,
   changeHold,
   type Cluster,
+  dropJob,
+  dropMachine,
+  finish,
   type Hold,
   holdKey,
   type Job,
   type Machine,
-  newCluster,
-  newJob,
   newMachine,
-  occupies,
+  heardOf,
   removeHold,
+  setMachine,
+  tidyTask,
 } from "./cluster.js";
-import { Fleet, type FleetOptions, offerKey, type Rent } from "./fleet.js";
-import { allowed, choose, freeRoom, slots, usable, victims } from "./placement.js";
-import { fitsGuarantee, fitsLimit, roomInLimit, type Usage } from "./quota.js";
+import { Fleet, offerKey, type Rent } from "./fleet.js";
+import { Outbox } from "./outbox.js";
+import { Placer, suspect } from "./placer.js";
+import { Proof } from "./proof.js";
+import { roomInLimit } from "./quota.js";
 import type { Range } from "./ranges.js";
-import {
-  type JobSpec,
-  type MachineRecord,
-  type MachineType,
-  type Order,
-  RANK,
-  type RentalRecord,
-  type Team,
-  type TermRecord,
-  type WorkerReport,
+import type {
+  JobSpec,
+  MachineRecord,
+  MachineType,
+  Order,
+  RentalRecord,
+  TermRecord,
+  WorkerReport,
 } from "./records.js";
-import type { Spans } from "./term.js";
-import { stretched } from "./time.js";
-
-export interface SchedulerOptions {
-  readonly spans: Spans;
-  readonly teams: ReadonlyMap<string, Team>;
-  readonly fleet: FleetOptions;
-  /** How soon users expect tasks of a class to start, from the platform's objectives. */
-  readonly startGoals: ReadonlyMap<string, Duration.Duration>;
-}
+import { Returns } from "./returns.js";
+import { type SchedulerOptions, Scope } from "./scope.js";
+import { termOf, tokenOf } from "./term.js";
+import { Tidy } from "./tidy.js";
 
 export type Decision =
-  | { kind: "orders"; machine: string; via: string | null; addr: string; session: number; orders: Order[] }
+  | {
+      kind: "orders";
+      machine: string;
+      via: string | null;
+      addr: string;
+      session: number;
+      token: number;
+      orders: Order[];
+    }
   | { kind: "commit"; job: string; tasks: number }
   | { kind: "record"; machine: string; record: MachineRecord }
   | { kind: "rent"; rent: Rent }
   | { kind: "release"; machines: string[]; why: string }
-  | { kind: "newTerm"; why: string }
   | { kind: "note"; text: string };
 
 /**
@@ -60,33 +67,21 @@
  */
 export type OrderOutcome = "done" | "rejected" | "unsent" | "unknown" | "barred";
 
-/** What a member vouches for: when it last answered each worker, as of an instant of the leader's clock. */
-interface Vouch {
-  asOf: Instant | null;
-  readonly answered: Map<string, Instant>;
-}
-
-const MAX_STARTS_PER_STEP = 400;
-const HOPELESS_AFTER = 3;
-const GANG_PATIENCE = Duration.seconds(15);
+const ASK_AGAIN = Duration.seconds(1);
+/** Questions put in one step: after a take-over all machines are asked, a few at a time. */
+const MAX_QUESTIONS = 40;
+const MAX_RELEASED = 5000;
+const MAX_RELEASE = 100;
 
 export class Scheduler {
-  readonly cluster: Cluster = newCluster();
   readonly fleet: Fleet;
-  term: TermRecord;
-  private termBegan: Instant;
-  private vouches = new Map<string, Vouch>();
-  private types: readonly MachineType[] = [];
-  private typeByName = new Map<string, MachineType>();
-  private attempts = 0;
-  private guaranteed: ReadonlySet<Job> = new Set();
+  private readonly scope: Scope;
+  private readonly proof: Proof;
+  private readonly placer: Placer;
+  private readonly tidy: Tidy;
+  private readonly returns: Returns;
   private released = new Set<string>();
   private listedOnce = false;
-  private doubtsSince: Instant | null = null;
-  /** Room that is being made by stopping others, by job, so that no more is stopped than needed. */
-  private makingRoom = new Map<string, { until: Instant }>();
-  /** Jobs not older than this revision were never in an older leader's hands. */
-  readonly since: number;
 
   constructor(
     private readonly options: SchedulerOptions,
@@ -94,110 +89,95 @@
     leaderStamp: number,
     now: Instant,
   ) {
+    this.scope = new Scope(options, term, now, leaderStamp);
     this.fleet = new Fleet(options.fleet);
-    this.term = term;
-    this.since = leaderStamp;
-    this.termBegan = now;
-    this.resetVouches();
+    this.proof = new Proof(this.scope);
+    this.placer = new Placer(this.scope);
+    this.tidy = new Tidy(this.scope);
+    this.returns = new Returns(this.scope, this.proof);
   }
 
-  private resetVouches(): void {
-    this.vouches = new Map(this.term.members.map((m) => [m.name, { asOf: null, answered: new Map() }]));
+  get cluster(): Cluster {
+    return this.scope.cluster;
+  }
+  get term(): TermRecord {
+    return this.scope.term;
   }
 
-  /** The same leader goes on under a higher token: what it knows stays true; doubts can now be settled. */
+  /** The same leader goes on under a higher token: what it knows stays true. */
   renewTerm(term: TermRecord, now: Instant): void {
-    this.term = term;
-    this.termBegan = now;
-    this.resetVouches();
-    for (const m of this.cluster.machines.values()) m.inFlight = false;
-    this.doubtsSince = null;
+    this.scope.term = term;
+    this.scope.termBegan = now;
+    this.proof.newTerm();
+    for (const m of this.cluster.machines.values()) {
+      m.inFlight = false;
+      m.step = 0;
+      this.cluster.attention.add(m);
+    }
+    this.cluster.chances++;
   }
 
   setTypes(types: readonly MachineType[]): void {
-    this.types = types;
-    this.typeByName = new Map(types.map((t) => [t.name, t]));
-    for (const m of this.cluster.machines.values()) this.applyType(m);
-  }
-
-  private applyType(m: Machine): void {
-    const type = this.typeByName.get(m.type);
-    if (type === undefined) return;
-    m.cpus = type.cpus;
-    m.gpus = type.gpus;
-    m.memoryGb = type.memoryGb;
-    m.cacheGb = type.cacheGb;
+    this.scope.setTypes(types);
   }
 
   // --- jobs -------------------------------------------------------------------------------------------
 
   jobSeen(spec: JobSpec, stamp: number, now: Instant): void {
     if (this.cluster.jobs.has(spec.id)) return;
-    const job = newJob(spec, now, stamp);
-    this.cluster.jobs.set(spec.id, job);
+    const job = addJob(this.cluster, spec, now, stamp);
+    for (const [index, holds] of job.holds) if (holds.some((h) => h.why === "done")) this.done(job, index);
     this.fleet.arrived(spec, now);
-    // adopt tasks that machines reported before the record was read
-    for (const m of this.cluster.machines.values())
-      for (const hold of [...m.holds.values()])
-        if (hold.job === spec.id && hold.spec === null) {
-          removeHold(this.cluster, hold);
-          addHold(this.cluster, { ...hold, spec });
-        }
   }
 
   /** The job record is gone: there is a commit, done or cancelled, and nothing of it may start again. */
   jobOver(id: string): void {
     const job = this.cluster.jobs.get(id);
-    if (job === undefined) return;
-    this.cluster.jobs.delete(id);
-    this.makingRoom.delete(id);
+    if (job !== undefined) dropJob(this.cluster, job);
+    this.placer.jobOver(id);
+  }
+
+  private done(job: Job, index: number): void {
+    // the tasks of a gang complete together: if one is done, so are all
+    if (job.spec.kind === "gang") finish(this.cluster, job, 0, job.spec.tasks);
+    else finish(this.cluster, job, index, index + 1);
   }
 
   /** Finishes that are in the state service. */
   stored(id: string, ranges: readonly Range[]): void {
     const job = this.cluster.jobs.get(id);
     if (job === undefined) return;
-    // the tasks of a gang complete together: if one is done, so are all
     const whole = job.spec.kind === "gang" && ranges.length > 0;
     for (const [from, to] of whole ? ([[0, job.spec.tasks]] as const) : ranges) {
-      job.done.add(from, to);
-      for (let n = from; n < to; n++) job.pending.delete(n);
+      job.stored.add(from, to);
+      for (let n = from; n < to; n++)
+        for (const hold of job.holds.get(n) ?? []) {
+          hold.stored = true;
+          tidyTask(this.cluster, job, n);
+        }
+      finish(this.cluster, job, from, to);
     }
-    for (const [index, holds] of job.holds) if (job.done.has(index)) for (const h of holds) h.stored = true;
   }
 
   commitFailed(id: string): void {
     const job = this.cluster.jobs.get(id);
-    if (job !== undefined) job.committing = false;
-  }
-
-  progress(): { job: string; done: number; running: number }[] {
-    const out = [];
-    for (const job of this.cluster.jobs.values()) {
-      let running = 0;
-      for (const holds of job.holds.values())
-        if (holds.some((h) => h.state === "running" || h.state === "saving")) running++;
-      out.push({ job: job.spec.id, done: job.done.size, running });
-    }
-    return out;
+    if (job === undefined) return;
+    job.committing = false;
+    if (job.done.covers(job.spec.tasks)) this.cluster.covered.add(job);
   }
 
   // --- machines ---------------------------------------------------------------------------------------
 
   /** A machine record read from the state service, or one just written. */
   recorded(id: string, record: MachineRecord, now: Instant): Machine | null {
-    // nothing was ever started on a machine whose record isn't open: it needs no confirmation
-    if (!record.open) return this.discovered(id, record, now);
     if (this.released.has(id)) return null;
-    let m = this.cluster.machines.get(id);
-    if (m === undefined) {
-      m = newMachine(id, record, now);
-      this.cluster.machines.set(id, m);
-      this.applyType(m);
-    }
-    m.recorded = true;
+    const known = this.cluster.machines.get(id);
+    const m = known ?? newMachine(id, record, now);
+    if (known === undefined) addMachine(this.cluster, m);
     m.recording = false;
     m.addr ??= record.addr;
+    setMachine(this.cluster, m, { recorded: true });
+    if (known === undefined) this.scope.applyType(m);
     return m;
   }
 
@@ -206,15 +186,15 @@
     if (m !== undefined) m.recording = false;
   }
 
-  /** A machine without an open record (rented, or found in a report or a list) never got a start from anybody. */
+  /** A machine without a record (rented, or found in a report or a list) never got a start from anybody. */
   private discovered(id: string, record: MachineRecord, now: Instant): Machine | null {
     if (this.released.has(id)) return null;
     const known = this.cluster.machines.get(id);
     if (known !== undefined) return known;
     const m = newMachine(id, record, now);
-    m.confirmed = true;
-    this.cluster.machines.set(id, m);
-    this.applyType(m);
+    addMachine(this.cluster, m);
+    setMachine(this.cluster, m, { confirmed: true });
+    this.scope.applyType(m);
     return m;
   }
 
@@ -224,9 +204,9 @@
   ): void {
     this.listedOnce = true;
     for (const row of rows) {
-      const m = this.discovered(row.id, row.record, plus(now, Duration.millis(-row.ageMs)));
-      if (m === null) continue;
       const created = plus(now, Duration.millis(-row.ageMs));
+      const m = this.discovered(row.id, row.record, created);
+      if (m === null) continue;
       if (m.heard === null && created < m.created) m.created = created;
       m.addr ??= row.record.addr;
       if (row.failed) m.failed = true;
@@ -243,28 +223,24 @@
       }
       this.released.add(id);
       // late lists and reports speak of machines long gone; the oldest no longer do
-      if (this.released.size > 5000) this.released.delete(this.released.values().next().value!);
-      this.drop(m);
+      if (this.released.size > MAX_RELEASED) this.released.delete(this.released.values().next().value!);
+      dropMachine(this.cluster, m);
+      this.proof.forget(id);
     }
   }
 
-  private drop(m: Machine): void {
-    for (const hold of [...m.holds.values()]) removeHold(this.cluster, hold);
-    this.cluster.machines.delete(m.id);
-  }
-
   // --- reports ----------------------------------------------------------------------------------------
 
   /** `at`: when a member took the report. */
   report(r: WorkerReport, via: string, now: Instant, at: Instant = now): void {
-    // the memory of a machine that nobody recorded, and that has been silent since, is no machine
-    if (!this.cluster.machines.has(r.machine) && passed(now, at, this.fresh())) return;
-    const m = this.discovered(
-      r.machine,
-      { type: r.type, zone: r.zone, spot: r.spot, addr: r.addr, open: false },
-      now,
-    );
-    if (m === null) return;
+    const current = termOf(r.token) >= this.term.token;
+    let m = this.cluster.machines.get(r.machine) ?? null;
+    if (m === null) {
+      // a late copy may speak of a machine long gone: a stranger is believed once it knows the present token
+      if (!current) return;
+      m = this.discovered(r.machine, { type: r.type, zone: r.zone, spot: r.spot, addr: r.addr }, now);
+      if (m === null) return;
+    }
     // the message with the larger (session, seq) is the newer one; older ones say nothing about now
     if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return;
     const newSession = r.session > m.session && m.session > 0;
@@ -273,48 +249,48 @@
     m.token = Math.max(m.token, r.token);
     m.addr = r.addr;
     m.via = via;
-    if (m.heard === null || at > m.heard) {
-      m.heard = at;
-      m.unanswered = 0;
+    heardOf(this.cluster, m, at);
+    if (r.noticeS === null) {
+      if (m.noticeUntil !== null) this.cluster.chances++;
+      m.noticeUntil = null;
+    } else if (m.noticeUntil === null) {
+      m.noticeUntil = plus(now, Duration.seconds(r.noticeS));
+      this.cluster.attention.add(m);
     }
-    if (r.noticeS !== null) m.noticeUntil ??= plus(now, Duration.seconds(r.noticeS));
-    else m.noticeUntil = null;
-    const complete = r.token >= this.term.token;
 
     const present = new Set<string>();
     for (const t of r.tasks) {
       const key = holdKey(t.job, t.index, t.attempt);
       present.add(key);
+      const job = this.cluster.jobs.get(t.job);
+      if (t.state === "exited" && t.why === "done" && job !== undefined) this.done(job, t.index);
       const hold = m.holds.get(key);
-      const doubt =
-        hold?.doubt !== undefined && hold.doubt !== null && r.token > hold.doubt
-          ? null
-          : (hold?.doubt ?? null);
       if (hold === undefined) {
         addHold(this.cluster, {
           job: t.job,
           index: t.index,
           attempt: t.attempt,
           machine: m.id,
-          spec: this.cluster.jobs.get(t.job)?.spec ?? null,
+          spec: job?.spec ?? null,
           state: t.state,
           why: t.why,
           since: now,
           doubt: null,
           stopping: t.state === "saving",
-          stored: this.cluster.jobs.get(t.job)?.done.has(t.index) ?? false,
+          stored: job?.stored.has(t.index) ?? false,
         });
-        if (t.state === "running") this.seenImage(m, this.cluster.jobs.get(t.job)?.spec);
+        if (t.state === "running") this.seenImage(m, job?.spec);
         continue;
       }
       const before = hold.state;
+      const doubt = hold.doubt !== null && r.token > hold.doubt ? null : hold.doubt;
       if (before === t.state && doubt === hold.doubt) continue;
       const since = before === t.state ? hold.since : now;
       changeHold(this.cluster, hold, { state: t.state, why: t.why, since, doubt });
       if (t.state === "running" || (t.state === "exited" && before !== "exited"))
         this.seenState(m, hold, now);
     }
-    for (const [key, hold] of [...m.holds]) {
+    for (const [key, hold] of m.holds) {
       if (present.has(key)) continue;
       // a start on its way, or one without an answer, may still be executed: it holds the task until the
       // worker has seen a higher token or begun a new session (late orders are refused from then on)
@@ -322,7 +298,20 @@
       if (!newSession && hold.doubt !== null && !(r.token > hold.doubt)) continue;
       removeHold(this.cluster, hold);
     }
-    if (complete) m.confirmed = true;
+    if (current && !m.confirmed) {
+      setMachine(this.cluster, m, { confirmed: true });
+      for (const hold of m.holds.values()) {
+        const job = this.cluster.jobs.get(hold.job);
+        if (job !== undefined) tidyTask(this.cluster, job, hold.index);
+      }
+    }
+  }
+
+  /** A member heard a newer message of its worker at `at`, with nothing new in it. */
+  heard(machine: string, at: Instant): void {
+    const m = this.cluster.machines.get(machine);
+    // only what has shown itself by a report
+    if (m !== undefined && m.session > 0) heardOf(this.cluster, m, at);
   }
 
   private seenImage(m: Machine, spec: JobSpec | undefined | null): void {
@@ -347,6 +336,7 @@
     if (hold.why === "done") {
       this.seenImage(m, hold.spec);
       m.blame.clear();
+      if (m.setAside !== null) this.cluster.chances++;
       m.setAside = null;
     }
     if (hold.why === "error" && job !== undefined) {
@@ -376,7 +366,6 @@
     return failures >= 2;
   }
 
-  /** A member's word on its part: which workers it answered, and when at the latest. */
   vouched(
     member: string,
     incarnation: number,
@@ -384,32 +373,30 @@
     asOf: Instant | null,
     answered: readonly { machine: string; at: Instant }[],
   ): void {
-    if (token !== this.term.token) return;
-    if (!this.term.members.some((m) => m.name === member && m.incarnation === incarnation)) return;
-    const vouch = this.vouches.get(member)!;
-    if (asOf !== null && (vouch.asOf === null || asOf > vouch.asOf)) vouch.asOf = asOf;
-    for (const { machine, at } of answered) {
-      const before = vouch.answered.get(machine);
-      if (before === undefined || at > before) vouch.answered.set(machine, at);
-      const m = this.cluster.machines.get(machine);
-      if (m !== undefined && m.heard !== null && at > m.heard) {
-        m.heard = at;
-        m.unanswered = 0;
-      }
-    }
+    this.proof.vouched(member, incarnation, token, asOf, answered);
   }
 
-  ordersAnswered(machine: string, orders: readonly Order[], token: number, outcome: OrderOutcome): void {
+  /** What became of orders that were sent under this token. */
+  ordersAnswered(
+    machine: string,
+    orders: readonly Order[],
+    token: number,
+    outcome: OrderOutcome,
+    now: Instant,
+  ): void {
     const m = this.cluster.machines.get(machine);
     if (m === undefined) return;
-    if (token === this.term.token) m.inFlight = false;
-    if (outcome === "unknown" || outcome === "unsent") m.unanswered++;
+    if (termOf(token) === this.term.token) m.inFlight = false;
+    this.cluster.attention.add(m);
+    this.cluster.chances++;
+    if (outcome !== "barred")
+      answeredDirectly(this.cluster, m, outcome === "done" || outcome === "rejected", now);
     for (const order of orders) {
       const hold = m.holds.get(holdKey(order.job, order.index, order.attempt));
       if (hold === undefined) continue;
       if (order.op === "stop" && outcome !== "done") hold.stopping = false;
       if (order.op !== "start" || hold.state !== "ordered") continue;
-      if (outcome === "unknown") hold.doubt = token;
+      if (outcome === "unknown") changeHold(this.cluster, hold, { doubt: token });
       else removeHold(this.cluster, hold);
     }
   }
@@ -418,400 +405,89 @@
 
   step(now: Instant): Decision[] {
     const out: Decision[] = [];
-    this.proveGone(now);
-    const orders = new Map<string, Order[]>();
-    this.cleanUp(now, orders);
-    this.place(now, orders, out);
+    const outbox = new Outbox();
+    const notes: string[] = [];
+    this.proof.step(now);
+    this.tidy.step(now, outbox);
+    this.placer.step(now, outbox, notes);
+    for (const text of notes) out.push({ kind: "note", text });
     this.commit(out);
-    this.records(now, out);
-    this.send(now, orders, out);
-    this.settleDoubts(now, out);
+    this.records(out);
+    this.settleDoubts();
+    this.send(now, outbox, out);
     return out;
   }
 
-  private fresh(): Duration.Duration {
-    return Duration.sum(Duration.times(this.options.spans.reportEvery, 1.25), Duration.millis(1500));
-  }
-
-  private usable = (m: Machine, now: Instant): boolean => usable(m, now, this.fresh());
-
-  /** Without a report or a release, time alone proves that a silent machine's old session is over. */
-  private proveGone(now: Instant): void {
-    const { spans } = this.options;
-    for (const m of this.cluster.machines.values()) {
-      const open = !m.confirmed || [...m.holds.values()].some((h) => occupies(h));
-      if (!open || (m.heard !== null && !passed(now, m.heard, spans.workerLease))) continue;
-      let last = plus(this.termBegan, spans.fence);
-      for (const vouch of this.vouches.values()) {
-        const at = vouch.answered.get(m.id);
-        if (at !== undefined && at > last) last = at;
-      }
-      const gone = plus(last, Duration.sum(stretched(spans.workerLease), Duration.seconds(1)));
-      const everyoneVouches = [...this.vouches.values()].every((v) => v.asOf !== null && v.asOf >= gone);
-      if (!everyoneVouches) continue;
-      m.confirmed = true;
-      m.inFlight = false;
-      for (const hold of [...m.holds.values()]) removeHold(this.cluster, hold);
-    }
-  }
-
-  /** Halts what must not run and reaps what is over. */
-  private cleanUp(now: Instant, orders: Map<string, Order[]>): void {
-    for (const m of this.cluster.machines.values()) {
-      if (m.inFlight || !m.confirmed || m.addr === null) continue;
-      if (m.noticeUntil !== null) this.evacuate(m, now, orders);
-      let moving = [...m.holds.values()].some((h) => h.stopping);
-      for (const hold of m.holds.values()) {
-        if (hold.state === "ordered") continue;
-        const job = this.cluster.jobs.get(hold.job);
-        const order = { job: hold.job, index: hold.index, attempt: hold.attempt };
-        if (hold.state === "exited") {
-          // a finish is reaped only once stored; nothing is reaped while its start may yet be executed again
-          if (hold.doubt === null && (job === undefined || hold.why !== "done" || hold.stored))
-            push(orders, m.id, { ...order, op: "forget", graceS: 0 });
-          continue;
-        }
-        const twin =
-          job !== undefined &&
-          (job.holds.get(hold.index) ?? []).some(
-            (h) => h !== hold && occupies(h) && h.attempt < hold.attempt,
-          );
-        if (m.draining && !moving && movable(hold, now)) {
-          moving = true;
-          stopTask(hold, orders);
-          continue;
-        }
-        const over = job === undefined || job.done.has(hold.index) || twin;
-        if (over && !(hold.stopping && !passed(now, hold.since, Duration.seconds(3)))) {
-          hold.stopping = true;
-          push(orders, m.id, { ...order, op: "stop", graceS: 0 });
-        }
-      }
-    }
-  }
-
-  /** Recorded machines that may hold tasks this leader doesn't know of. */
-  private silent(): Machine[] {
-    return [...this.cluster.machines.values()].filter((m) => m.recorded && !m.confirmed);
-  }
-
-  /** Whether an unseen machine may hold a task of this job. */
-  private mayHold(m: Machine, job: Job): boolean {
-    return job.stamp <= this.since && allowed(job.spec, m);
-  }
-
-  private usageOf(team: string): Usage {
-    return this.cluster.usage.get(team) ?? { cpus: 0, gpus: 0 };
-  }
-
-  /** The most a team may be using: what is seen, and all that unseen machines could hold. */
-  private worstUsage(team: string, unknown: readonly Machine[]): Usage {
-    const seen = this.usageOf(team);
-    const worst = { cpus: seen.cpus, gpus: seen.gpus };
-    for (const m of unknown) {
-      worst.cpus += m.cpus;
-      worst.gpus += m.gpus;
-    }
-    return worst;
-  }
-
-  /** Jobs with waiting tasks, the most important first. */
-  private queue(now: Instant): Job[] {
-    const jobs = [...this.cluster.jobs.values()].filter(
-      (j) => j.pending.size > 0 && (j.retryAt === null || now >= j.retryAt),
-    );
-    this.guaranteed = this.guaranteedJobs();
-    const first = (j: Job): number => (this.guaranteed.has(j) ? 1 : 0);
-    return jobs.sort(
-      (a, b) => RANK[b.spec.priority] - RANK[a.spec.priority] || first(b) - first(a) || a.stamp - b.stamp,
-    );
-  }
-
-  /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
-  private guaranteedJobs(): Set<Job> {
-    const out = new Set<Job>();
-    const used = new Map<string, Usage>();
-    for (const job of [...this.cluster.jobs.values()].sort((a, b) => a.stamp - b.stamp)) {
-      const { spec } = job;
-      const team = this.options.teams.get(spec.team);
-      if (team === undefined || (team.cpus <= 0 && team.gpus <= 0)) continue;
-      const usage = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
-      used.set(spec.team, usage);
-      if (fitsGuarantee(team, usage, spec, spec.tasks)) out.add(job);
-      usage.cpus += spec.cpus * spec.tasks;
-      usage.gpus += spec.gpus * spec.tasks;
-    }
-    return out;
-  }
-
-  private place(now: Instant, orders: Map<string, Order[]>, out: Decision[]): void {
-    const silent = this.silent();
-    const unknown = [...this.cluster.machines.values()].filter(
-      (m) => m.recorded && (!m.confirmed || hasStray(m)),
-    );
-    const candidates = [...this.cluster.machines.values()].filter(
-      (m) => this.usable(m, now) && !m.inFlight && !hasStray(m),
-    );
-    const parts = new Map<string | null, number>();
-    for (const m of candidates) parts.set(m.via, (parts.get(m.via) ?? 0) + m.cpus - m.used.cpus);
-    const partRoom = (via: string | null) => parts.get(via) ?? 0;
-    let budget = MAX_STARTS_PER_STEP;
-    let heldBack = -1;
-    for (const job of this.queue(now)) {
-      if (budget <= 0) break;
-      if (RANK[job.spec.priority] <= heldBack && !this.guaranteed.has(job)) continue;
-      const { spec } = job;
-      const team = this.options.teams.get(spec.team);
-      if (team === undefined || silent.some((m) => this.mayHold(m, job))) continue;
-      if (spec.kind === "gang") {
-        const placed = this.placeGang(job, team, candidates, unknown, now, orders, partRoom);
-        budget -= placed;
-        // smaller jobs would take every place that gets free: after a while they are held back for the gang
-        if (placed === 0 && passed(now, job.seen, GANG_PATIENCE) && this.couldHold(job, candidates))
-          heldBack = RANK[spec.priority];
-        continue;
-      }
-      const room = roomInLimit(team, this.worstUsage(spec.team, unknown), spec);
-      // a job that fails everywhere is tried one task at a time
-      for (const index of job.pending.take(Math.min(budget, room, suspect(job) ? 1 : Infinity))) {
-        const m = choose(this.cluster, job, candidates, now, partRoom);
-        if (m === null) {
-          this.makeRoom(job, candidates, now, orders, out);
-          break;
-        }
-        if (this.fetchTooLong(job, m)) {
-          const cached = candidates.filter((x) => x.images.has(spec.image));
-          if (this.makeRoom(job, cached, now, orders, out, true)) break;
-        }
-        parts.set(m.via, partRoom(m.via) - spec.cpus);
-        this.start(job, index, ++this.attempts, m, now, orders);
-        budget--;
-      }
-    }
-  }
-
-  /** Whether the machines there are could hold a whole gang if they were empty. */
-  private couldHold(job: Job, candidates: readonly Machine[]): boolean {
-    const zones = new Map<string, number>();
-    for (const m of candidates) {
-      if (!allowed(job.spec, m)) continue;
-      const zone = job.spec.oneZone ? m.zone : "";
-      zones.set(zone, (zones.get(zone) ?? 0) + slots(job.spec, m));
+  private commit(out: Decision[]): void {
+    for (const job of this.cluster.covered) {
+      job.committing = true;
+      out.push({ kind: "commit", job: job.spec.id, tasks: job.spec.tasks });
     }
-    return [...zones.values()].some((n) => n >= job.spec.tasks);
-  }
-
-  private start(
-    job: Job,
-    index: number,
-    n: number,
-    m: Machine,
-    now: Instant,
-    orders: Map<string, Order[]>,
-  ): void {
-    // unique for ever: a token belongs to one leader, which counts its starts
-    const attempt = this.term.token * 1_000_000 + n;
-    addHold(this.cluster, {
-      job: job.spec.id,
-      index,
-      attempt,
-      machine: m.id,
-      spec: job.spec,
-      state: "ordered",
-      why: null,
-      since: now,
-      doubt: null,
-      stopping: false,
-      stored: false,
-    });
-    push(orders, m.id, { op: "start", job: job.spec.id, index, attempt, graceS: 0 });
+    this.cluster.covered.clear();
   }
 
-  /** All tasks at once or none; a broken gang is taken down whole before its next attempt. */
-  private placeGang(
-    job: Job,
-    team: Team,
-    candidates: readonly Machine[],
-    unknown: readonly Machine[],
-    now: Instant,
-    orders: Map<string, Order[]>,
-    partRoom: (via: string | null) => number,
-  ): number {
-    const { spec } = job;
-    if (this.stopGang(job, orders) > 0) return 0;
-    if (job.pending.size < spec.tasks) return 0;
-    if (!fitsLimit(team, this.worstUsage(spec.team, unknown), spec, spec.tasks)) return 0;
-    const zones = spec.oneZone ? [...new Set(candidates.map((m) => m.zone))] : [null];
-    for (const zone of zones) {
-      const inZone = candidates.filter((m) => zone === null || m.zone === zone);
-      const total = inZone.reduce((sum, m) => sum + (allowed(spec, m) ? slots(spec, freeRoom(m)) : 0), 0);
-      if (total < spec.tasks) continue;
-      const n = ++this.attempts;
-      const trial = new Map<string, Order[]>();
-      const placed: Hold[] = [];
-      for (const index of job.pending.take(spec.tasks)) {
-        const m = choose(this.cluster, job, inZone, now, partRoom);
-        if (m === null) break;
-        this.start(job, index, n, m, now, trial);
-        placed.push(job.holds.get(index)!.at(-1)!);
-      }
-      if (placed.length === spec.tasks) {
-        for (const [machine, list] of trial) for (const order of list) push(orders, machine, order);
-        return spec.tasks;
-      }
-      for (const hold of placed) removeHold(this.cluster, hold);
+  /** A machine is recorded before the first start on it. */
+  private records(out: Decision[]): void {
+    for (const m of this.cluster.unrecorded) {
+      if (m.recording || m.releasing !== null) continue;
+      m.recording = true;
+      const { type, zone, spot, addr } = m;
+      out.push({ kind: "record", machine: m.id, record: { type, zone, spot, addr } });
     }
-    return 0;
-  }
-
-  /** Takes a gang down with time to save, all tasks at once; says how many are still there. */
-  private stopGang(job: Job, orders: Map<string, Order[]>): number {
-    const live = [...job.holds.values()].flat().filter(occupies);
-    for (const hold of live) if (hold.state !== "ordered" && !hold.stopping) stopTask(hold, orders);
-    return live.length;
   }
 
-  /** A machine that the cloud takes back soon: what can save does so, replicas move if there is room. */
-  private evacuate(m: Machine, now: Instant, orders: Map<string, Order[]>): void {
-    for (const hold of m.holds.values()) {
-      const { spec } = hold;
-      const job = this.cluster.jobs.get(hold.job);
-      if (spec === null || job === undefined || hold.state !== "running" || hold.stopping) continue;
-      const saves =
-        Duration.toMillis(spec.checkpoint) > 0 && m.noticeUntil! - now >= Duration.toMillis(spec.save);
-      if (spec.kind === "gang") {
-        if (saves) this.stopGang(job, orders);
-        continue;
-      }
-      const ready = (): Machine[] => [...this.cluster.machines.values()].filter((x) => this.usable(x, now));
-      if (saves || (spec.kind === "service" && choose(this.cluster, job, ready(), now, () => 0) !== null))
-        stopTask(hold, orders);
+  /** A higher token settles whether an unanswered start was executed: a late one is refused from then on. */
+  private settleDoubts(): void {
+    for (const { machine, doubt } of this.cluster.doubts) {
+      const m = this.cluster.machines.get(machine)!;
+      if (doubt !== null && doubt >= tokenOf(this.term.token, m.step)) m.step++;
     }
   }
 
-  /** Free room is no use to a job whose image takes longer to fetch than its start may take. */
-  private fetchTooLong(job: Job, m: Machine): boolean {
-    const goal = this.options.startGoals.get(job.spec.className);
-    const type = this.typeByName.get(m.type);
-    if (goal === undefined || type === undefined || m.images.has(job.spec.image)) return false;
-    return job.spec.imageGb / type.fetchGbPerS > Duration.toSeconds(goal);
-  }
-
-  /** Stops others for one task of a job; true while that is under way. `once`: not a second time for this job. */
-  private makeRoom(
-    job: Job,
-    candidates: readonly Machine[],
-    now: Instant,
-    orders: Map<string, Order[]>,
-    out: Decision[],
-    once = false,
-  ): boolean {
-    const id = job.spec.id;
-    const making = this.makingRoom.get(id);
-    if (making !== undefined && now < making.until) return true;
-    if (making !== undefined && once) return false;
-    const rank = RANK[job.spec.priority];
-    const guaranteed = this.guaranteed.has(job);
-    const mayStop = (hold: Hold): boolean => {
-      const spec = hold.spec!;
-      if (spec.kind === "gang") return false;
-      // below production, room made a little sooner isn't worth work that has run for a while
-      if (RANK[spec.priority] < rank && (rank === RANK.production || !losesWork(hold, now))) return true;
-      if (!guaranteed || spec.team === job.spec.team || spec.kind === "service") return false;
-      const other = this.options.teams.get(spec.team);
-      const usage = this.usageOf(spec.team);
-      // only what the other team runs beyond its own guarantee
-      return (
-        other !== undefined && usage.cpus - spec.cpus >= other.cpus && usage.gpus - spec.gpus >= other.gpus
-      );
-    };
-    const found = victims(this.cluster, job, candidates, now, mayStop);
-    if (found === null) return false;
-    for (const hold of found.holds) stopTask(hold, orders);
-    this.makingRoom.set(id, { until: plus(now, Duration.millis(300)) });
-    out.push({
-      kind: "note",
-      text: `stop ${found.holds.map((h) => `${h.job}/${h.index}`).join(" ")} on ${found.machine.id} for ${id}`,
-    });
-    return true;
-  }
-
-  private commit(out: Decision[]): void {
-    for (const job of this.cluster.jobs.values())
-      if (!job.committing && job.done.covers(job.spec.tasks)) {
-        job.committing = true;
-        out.push({ kind: "commit", job: job.spec.id, tasks: job.spec.tasks });
-      }
-  }
-
-  /** A machine is recorded before the first start on it. */
-  private records(now: Instant, out: Decision[]): void {
-    for (const m of this.cluster.machines.values()) {
-      const idle = m.holds.size === 0;
-      m.idleSince = idle && m.heard !== null ? (m.idleSince ?? now) : null;
-      if (m.recorded || m.recording || m.releasing !== null || m.heard === null) continue;
-      m.recording = true;
-      out.push({
-        kind: "record",
-        machine: m.id,
-        record: { type: m.type, zone: m.zone, spot: m.spot, addr: m.addr, open: true },
-      });
-    }
-  }
-
-  private send(now: Instant, orders: Map<string, Order[]>, out: Decision[]): void {
-    const probeAfter = Duration.sum(
-      Duration.times(this.options.spans.reportEvery, 1.25),
-      Duration.millis(500),
-    );
-    for (const m of this.cluster.machines.values()) {
-      let list = orders.get(m.id);
-      if (m.addr === null || m.inFlight) {
-        // one batch at a time: what can't go out now is decided again
-        if (list !== undefined) this.ordersAnswered(m.id, list, 0, "barred");
-        continue;
-      }
-      if (list === undefined) {
-        // unconfirmed or silent machines are asked directly, without orders: the answer is their picture
-        // a machine that never reported is asked only if an earlier leader may have started something on it
-        const old =
-          (m.heard !== null || !m.confirmed ? m.token < this.term.token : false) ||
-          (m.heard !== null && passed(now, m.heard, probeAfter));
-        const asked = m.probedAt !== null && !passed(now, m.probedAt, Duration.seconds(1));
-        if (!old || asked || !m.recorded) continue;
-        m.probedAt = now;
-        list = [];
-      }
+  private send(now: Instant, outbox: Outbox, out: Decision[]): void {
+    const order = (m: Machine, orders: Order[]): void => {
       m.inFlight = true;
       out.push({
         kind: "orders",
         machine: m.id,
-        via: m.via,
-        addr: m.addr,
+        // what got no answer by one way is asked by the other: the member's, or this node's own
+        via: m.unanswered % 2 === 1 ? null : m.via,
+        addr: m.addr!,
         session: Math.max(1, m.session),
-        orders: list,
+        token: tokenOf(this.term.token, m.step),
+        orders,
       });
-    }
-  }
-
-  /** A higher token settles which unanswered starts were executed: late ones are refused from then on. */
-  private settleDoubts(now: Instant, out: Decision[]): void {
-    let doubt = false;
-    for (const m of this.cluster.machines.values())
-      if (m.heard !== null && !passed(now, m.heard, this.fresh()))
-        for (const hold of m.holds.values())
-          if (hold.doubt !== null && hold.doubt >= this.term.token) doubt = true;
-    if (!doubt) this.doubtsSince = null;
-    else {
-      this.doubtsSince ??= now;
-      if (
-        passed(now, this.doubtsSince, Duration.seconds(1)) &&
-        passed(now, this.termBegan, Duration.seconds(5))
-      ) {
-        out.push({ kind: "newTerm", why: "unanswered starts" });
-        this.doubtsSince = now;
-      }
-    }
+    };
+    for (const id of outbox.orders.keys()) {
+      const m = this.cluster.machines.get(id)!;
+      const orders = outbox.take(id)!;
+      // one batch at a time: what can't go out now is decided again
+      if (m.addr === null || m.inFlight) this.ordersAnswered(id, orders, 0, "barred", now);
+      else order(m, orders);
+    }
+    let questions = 0;
+    for (const m of this.toAsk(now)) {
+      if (questions >= MAX_QUESTIONS) break;
+      const asked = m.probedAt !== null && !passed(now, m.probedAt, ASK_AGAIN);
+      if (asked || !m.recorded || m.addr === null || m.inFlight || m.releasing !== null) continue;
+      m.probedAt = now;
+      questions++;
+      order(m, []);
+    }
+  }
+
+  /** Whom to ask without orders: the answer is their picture. */
+  private *toAsk(now: Instant): Iterable<Machine> {
+    const { cluster } = this;
+    for (const { machine } of cluster.doubts) yield cluster.machines.get(machine)!;
+    // an earlier leader may have started something on these
+    for (const m of cluster.unconfirmed) yield m;
+    const silence = Duration.sum(Duration.times(this.options.spans.reportEvery, 1.25), Duration.millis(500));
+    for (const m of cluster.hearing) {
+      if (!passed(now, m.heard!, silence)) break;
+      yield m;
+    }
+    yield* cluster.mute;
   }
 
   /** One line for operators: what there is, what is in use, what waits. */
@@ -823,18 +499,21 @@
     let spot = 0;
     for (const m of this.cluster.machines.values()) {
       if (m.heard === null) booting++;
-      if (!this.usable(m, now)) continue;
+      if (!this.scope.usable(m, now)) continue;
       ready++;
       cpus += m.cpus;
       used += m.used.cpus;
       if (m.spot) spot++;
     }
     let waiting = 0;
-    for (const j of this.cluster.jobs.values()) waiting += j.pending.size * j.spec.cpus;
+    for (const j of this.cluster.waiting) waiting += j.pending.size * j.spec.cpus;
     return {
       machines: this.cluster.machines.size,
       ready,
       booting,
+      unconfirmed: this.cluster.unconfirmed.size,
+      mute: this.cluster.mute.size,
+      doubts: this.cluster.doubts.size,
       spot,
       cpus,
       used,
@@ -848,172 +527,37 @@
   /** Called about once a second, and only while the cloud can be asked. */
   stepFleet(now: Instant): Decision[] {
     const out: Decision[] = [];
-    const releases = new Map<string, string[]>();
-    for (const m of this.cluster.machines.values()) {
-      if (m.releasing !== null && !passed(now, m.releasing, Duration.seconds(5))) continue;
-      const why = this.releaseReason(m, now);
-      if (why !== null) (releases.get(why) ?? releases.set(why, []).get(why)!).push(m.id);
-    }
-    for (const m of this.fleet.spare(this.cluster, this.typeByName, now, (x) => this.usable(x, now)))
+    const releases = this.returns.step(now);
+    const { typeByName, types, usable } = this.scope;
+    for (const m of this.fleet.spare(this.cluster, typeByName, now, (x) => usable(x, now)))
       (releases.get("idle") ?? releases.set("idle", []).get("idle")!).push(m.id);
-    for (const [why, machines] of releases) {
-      for (const id of machines) this.cluster.machines.get(id)!.releasing = now;
-      out.push({ kind: "release", machines: machines.slice(0, 100), why });
-    }
-    this.consolidate(now);
+    for (const [why, machines] of releases)
+      for (let at = 0; at < machines.length; at += MAX_RELEASE) {
+        const some = machines.slice(at, at + MAX_RELEASE);
+        for (const id of some) this.cluster.machines.get(id)!.releasing = now;
+        out.push({ kind: "release", machines: some, why });
+      }
+    this.returns.consolidate(now);
     if (!this.listedOnce) return out;
     const queue: { job: Job; tasks: number }[] = [];
-    for (const job of this.queue(now)) {
+    for (const job of this.placer.queue(now)) {
       const team = this.options.teams.get(job.spec.team);
       if (team === undefined) continue;
-      const tasks = Math.min(job.pending.size, roomInLimit(team, this.usageOf(job.spec.team), job.spec));
+      const room = roomInLimit(team, this.scope.usageOf(job.spec.team), job.spec);
+      const tasks = Math.min(job.pending.size, room);
       if (tasks > 0) queue.push({ job, tasks });
     }
-    for (const rent of this.fleet.rent(this.cluster, queue, this.types, now, (m) => this.usable(m, now)))
+    for (const rent of this.fleet.rent(this.cluster, queue, types, now, (m) => usable(m, now)))
       out.push({ kind: "rent", rent });
     return out;
   }
 
-  /**
-   * Replicas run for long, and a few of them keep a large machine from being returned. While nothing waits, the
-   * machine that costs the most for the least is drained, if all its replicas fit beside other running work where
-   * their image is cached already: the gap is then a stop and a start.
-   */
-  private consolidate(now: Instant): void {
-    const machines = [...this.cluster.machines.values()];
-    const waiting = [...this.cluster.jobs.values()].some(
-      (j) => j.pending.size > 0 && j.spec.kind !== "service",
-    );
-    const draining = machines.find((m) => m.draining);
-    if (waiting) {
-      if (draining !== undefined) draining.draining = false;
-      return;
-    }
-    if (draining !== undefined) return;
-    const ready = machines.filter((m) => this.usable(m, now));
-    const price = (m: Machine): number => {
-      const type = this.typeByName.get(m.type);
-      return type === undefined ? 0 : m.spot ? type.spotPrice : type.price;
-    };
-    const wasted = (m: Machine): number => price(m) * (1 - m.used.cpus / m.cpus);
-    const candidates = ready
-      .filter(
-        (m) =>
-          m.holds.size > 0 &&
-          m.used.cpus <= m.cpus / 2 &&
-          [...m.holds.values()].every((h) => movable(h, now)),
-      )
-      .sort((a, b) => wasted(b) - wasted(a));
-    for (const m of candidates) {
-      const others = ready.filter((x) => x !== m && x.holds.size > 0).map((x) => ({ x, room: freeRoom(x) }));
-      const fit = [...m.holds.values()].every((hold) => {
-        const spec = hold.spec!;
-        const job = this.cluster.jobs.get(hold.job);
-        const to = others.find(
-          ({ x, room }) =>
-            x.images.has(spec.image) &&
-            allowed(spec, x) &&
-            slots(spec, room) > 0 &&
-            job !== undefined &&
-            !spec.oneZone &&
-            !spec.spread,
-        );
-        if (to === undefined) return false;
-        to.room.cpus -= spec.cpus;
-        to.room.gpus -= spec.gpus;
-        to.room.memoryGb -= spec.memoryGb;
-        return true;
-      });
-      if (!fit) continue;
-      m.draining = true;
-      return;
-    }
-  }
-
-  private releaseReason(m: Machine, now: Instant): string | null {
-    if (m.releasing !== null) return "repeat";
-    if (m.failed) return "failed";
-    const type = this.typeByName.get(m.type);
-    if (m.heard === null) {
-      const since = m.recorded && !m.confirmed ? this.termBegan : m.created;
-      if (m.confirmed) {
-        const patience = Duration.times(type?.boot ?? Duration.seconds(60), 2.5);
-        return passed(now, since, patience) ? "never came up" : null;
-      }
-      // until it is gone, nothing that it may hold can start
-      const unheard = [...this.cluster.machines.values()].filter((x) => !x.confirmed).length;
-      const few = unheard <= Math.max(2, this.cluster.machines.size * 0.25);
-      const patience = !few ? 15_000 : m.unanswered >= 2 ? 4000 : 8000;
-      return passed(now, since, Duration.millis(patience)) ? "silent since take-over" : null;
-    }
-    const silentFor = Math.min(now - m.heard, now - this.termBegan);
-    if (silentFor > 0 && passed(now, m.heard, this.fresh())) {
-      const all = [...this.cluster.machines.values()].filter((x) => x.heard !== null);
-      const silent = all.filter((x) => passed(now, x.heard!, this.fresh())).length;
-      // many at once, or a part whose member is silent too, look like a cut of ours, not like dead machines
-      const lastWord = m.via === null ? undefined : this.vouches.get(m.via)?.asOf;
-      const cut = lastWord === undefined || lastWord === null || passed(now, lastWord, Duration.seconds(4));
-      const lonely = silent <= Math.max(2, all.length * 0.25) && !cut;
-      const soon = Duration.toMillis(this.fresh()) + 1000;
-      const patience = !lonely ? 40_000 : m.unanswered >= 2 ? soon : soon + 3000;
-      if (silentFor >= patience) return "silent";
-    }
-    if (m.draining && m.holds.size === 0 && !m.inFlight) return "drained";
-    if (m.setAside !== null) {
-      const live = [...m.holds.values()].some((h) => occupies(h));
-      if (!live) return "fails tasks";
-    }
-    return null;
-  }
-
-  /** A recorded rental's certain outcome; `machines` are recorded by now. */
+  /** A recorded rental's certain outcome. */
   rentalAnswered(name: string, record: RentalRecord, machines: readonly string[], now: Instant): void {
     this.fleet.asked.delete(name);
     if (machines.length < record.count)
       this.fleet.refused(offerKey(record.type, record.zone, record.spot), now);
-    for (const id of machines)
-      this.discovered(
-        id,
-        { type: record.type, zone: record.zone, spot: record.spot, addr: null, open: false },
-        now,
-      );
+    const { type, zone, spot } = record;
+    for (const id of machines) this.discovered(id, { type, zone, spot, addr: null }, now);
   }
 }
-
-/** A job that failed on several machines and completed nowhere. */
-const suspect = (job: Job): boolean => job.errorsOn.size >= HOPELESS_AFTER && job.done.size === 0;
-
-/** Tells a task to stop, with the time that it needs to save. */
-const stopTask = (hold: Hold, orders: Map<string, Order[]>): void => {
-  hold.stopping = true;
-  const { job, index, attempt } = hold;
-  const graceS = hold.spec === null ? 0 : Duration.toSeconds(hold.spec.save);
-  push(orders, hold.machine, { op: "stop", job, index, attempt, graceS });
-};
-
-const CHEAP_LOSS = Duration.seconds(6);
-/** Whether stopping a task throws away more than a moment's work. */
-const losesWork = (hold: Hold, now: Instant): boolean =>
-  Duration.toMillis(hold.spec!.checkpoint) === 0 &&
-  hold.state === "running" &&
-  passed(now, hold.since, CHEAP_LOSS);
-
-/** A replica that has run long enough for its start to count, and that nobody is stopping. */
-const movable = (h: Hold, now: Instant): boolean =>
-  h.spec?.kind === "service" &&
-  h.state === "running" &&
-  !h.stopping &&
-  h.doubt === null &&
-  passed(now, h.since, Duration.seconds(35));
-
-/** A task whose job record is gone: what it takes of its machine and of its team's limit isn't known. */
-const hasStray = (m: Machine): boolean => {
-  for (const hold of m.holds.values()) if (hold.spec === null && occupies(hold)) return true;
-  return false;
-};
-
-const push = (orders: Map<string, Order[]>, machine: string, order: Order): void => {
-  const list = orders.get(machine);
-  if (list === undefined) orders.set(machine, [order]);
-  else list.push(order);
-};
--- a/src/core/term.ts
+++ b/src/core/term.ts
@@ -79,3 +79,14 @@
   }
   return since;
 };
+
+/**
+ * Within one term the leader may raise a single machine's token, so that orders of its own that got no answer die:
+ * nobody else has to hear of it. What goes over the wire is term and step in one number.
+ */
+const STEPS = 1_000_000;
+export const tokenOf = (term: number, step = 0): number => term * STEPS + step;
+export const termOf = (token: number): number => Math.floor(token / STEPS);
+/** What a member answers a worker with: its term's token, or the higher one that the worker has from the leader. */
+export const answerToken = (term: number, seen: number): number =>
+  termOf(seen) === term ? seen : tokenOf(term);
--- /dev/null
+++ b/src/core/tidy.ts
@@ -0,0 +1,102 @@
+/** Stops what must not run, forgets what is over, moves replicas off machines that go. */
+import * as Duration from "effect/Duration";
+import { type Hold, type Machine, occupies } from "./cluster.js";
+import type { Outbox } from "./outbox.js";
+import { choose, freeRoom } from "./placement.js";
+import type { Scope } from "./scope.js";
+import { type Instant, passed } from "./time.js";
+
+/** An exited task takes no room: forgetting it waits this long for other orders to the same machine. */
+const FORGET_AFTER = Duration.seconds(2);
+const STOP_AGAIN_AFTER = Duration.seconds(3);
+
+/** A replica that has run long enough for its start to count, and that nobody is stopping. */
+export const movable = (h: Hold, now: Instant): boolean =>
+  h.spec?.kind === "service" &&
+  h.state === "running" &&
+  !h.stopping &&
+  h.doubt === null &&
+  passed(now, h.since, Duration.seconds(35));
+
+export class Tidy {
+  constructor(private readonly scope: Scope) {}
+
+  /** Looks at the machines about which something changed; keeps an eye on those where something is under way. */
+  step(now: Instant, outbox: Outbox): void {
+    const { attention } = this.scope.cluster;
+    for (const m of [...attention]) {
+      m.idleSince = m.holds.size === 0 && m.heard !== null ? (m.idleSince ?? now) : null;
+      // whatever ends these states puts the machine back
+      if (m.inFlight || !m.confirmed || m.addr === null || !this.machine(m, now, outbox)) attention.delete(m);
+    }
+  }
+
+  /** Whether there is more to do here later. */
+  private machine(m: Machine, now: Instant, outbox: Outbox): boolean {
+    let more = m.draining || m.noticeUntil !== null;
+    if (m.noticeUntil !== null) this.evacuate(m, now, outbox);
+    let moving = m.draining && [...m.holds.values()].some((h) => h.stopping);
+    for (const hold of m.holds.values()) {
+      if (hold.state === "ordered") continue;
+      const job = this.scope.cluster.jobs.get(hold.job);
+      if (hold.state === "exited") {
+        // a finish is reaped only once stored; nothing is reaped while its start may yet be executed again
+        if (hold.doubt === null && (job === undefined || hold.why !== "done" || hold.stored)) {
+          outbox.forget(hold, passed(now, hold.since, FORGET_AFTER));
+          more = true;
+        }
+        continue;
+      }
+      if (m.draining && !moving && movable(hold, now)) {
+        moving = true;
+        outbox.stop(hold);
+        continue;
+      }
+      if (job === undefined || job.done.has(hold.index) || this.hasTwin(hold)) {
+        if (!hold.stopping || passed(now, hold.since, STOP_AGAIN_AFTER)) outbox.stop(hold, 0);
+        more = true;
+      }
+    }
+    return more;
+  }
+
+  /**
+   * Whether an earlier attempt of the same task is on another machine, by that machine's own present word: a late copy
+   * of an old report must not get the real task stopped.
+   */
+  private hasTwin(hold: Hold): boolean {
+    const { cluster } = this.scope;
+    const holds = cluster.jobs.get(hold.job)?.holds.get(hold.index) ?? [];
+    return holds.some(
+      (h) =>
+        h !== hold && occupies(h) && h.attempt < hold.attempt && cluster.machines.get(h.machine)!.confirmed,
+    );
+  }
+
+  /** A machine that the cloud takes back soon: what can save does so, replicas move if there is room. */
+  private evacuate(m: Machine, now: Instant, outbox: Outbox): void {
+    const { cluster } = this.scope;
+    let room: Machine[] | null = null;
+    for (const hold of m.holds.values()) {
+      const { spec } = hold;
+      const job = cluster.jobs.get(hold.job);
+      if (spec === null || job === undefined || hold.state !== "running" || hold.stopping) continue;
+      const saves =
+        Duration.toMillis(spec.checkpoint) > 0 && m.noticeUntil! - now >= Duration.toMillis(spec.save);
+      if (spec.kind === "gang") {
+        if (saves) stopGang([...job.holds.values()].flat(), outbox);
+        continue;
+      }
+      if (!saves && spec.kind !== "service") continue;
+      room ??= [...cluster.free].filter((x) => this.scope.usable(x, now) && freeRoom(x).cpus > 0);
+      if (saves || choose(cluster, job, room, now, () => 0) !== null) outbox.stop(hold);
+    }
+  }
+}
+
+/** Takes a gang down with time to save, all tasks at once; says how many are still there. */
+export const stopGang = (holds: readonly Hold[], outbox: Outbox): number => {
+  const live = holds.filter(occupies);
+  for (const hold of live) if (hold.state !== "ordered" && !hold.stopping) outbox.stop(hold);
+  return live.length;
+};
--- a/src/io/call.ts
+++ b/src/io/call.ts
@@ -27,11 +27,21 @@
 export const makeAgent = (sockets: number): http.Agent =>
   new http.Agent({ keepAlive: true, maxSockets: sockets, maxFreeSockets: sockets, scheduling: "lifo" });
 
+/** Closes the unused connections to an address. */
+export const closeFree = (agent: http.Agent, addr: string): void => {
+  const { host, port } = endpoint(addr);
+  for (const socket of agent.freeSockets[agent.getName({ host, port })] ?? []) socket.destroy();
+};
+
+const endpoint = (addr: string): { host: string; port: number } => {
+  const colon = addr.lastIndexOf(":");
+  return { host: addr.slice(0, colon), port: Number(addr.slice(colon + 1)) };
+};
+
 const MAX_REPLY = 64 * 1024 * 1024;
 
 export const call = (agent: http.Agent, c: Call): Effect.Effect<Reply, CallFailed> =>
   Effect.async<Reply, CallFailed>((resume) => {
-    const colon = c.addr.lastIndexOf(":");
     let sent = false;
     let over = false;
     const finish = (result: Effect.Effect<Reply, CallFailed>): void => {
@@ -48,8 +58,7 @@
     }
     const request = http.request({
       agent,
-      host: c.addr.slice(0, colon),
-      port: Number(c.addr.slice(colon + 1)),
+      ...endpoint(c.addr),
       method: c.method,
       path: c.path,
       headers,
--- a/src/io/codec.ts
+++ b/src/io/codec.ts
@@ -97,6 +97,10 @@
   deadline: w.due_s == null ? null : Duration.seconds(w.due_s),
 });
 
+/** A job record as it was read; null: it can't be what was accepted under this id. */
+export const readJob = (id: string, value: unknown): JobSpec | null =>
+  typeof value === "object" && value !== null && checkJob(value) && value.ref === id ? specOf(value) : null;
+
 export type UserState = "queued" | "running" | "done" | "cancelled";
 const USER_STATES: Record<UserState, string> = {
   queued: "queued",
@@ -144,36 +148,45 @@
   no_such: "unknown",
 };
 
+const isEndpoint = (value: unknown): value is string =>
+  typeof value === "string" && /^[0-9A-Za-z.-]{1,100}:[0-9]{1,5}$/.test(value);
+const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 0;
+
+const parseTask = (value: unknown): TaskReport | null => {
+  const t = value as NonNullable<WireReport["chores"]>[number] | null;
+  if (typeof t !== "object" || t === null || typeof t.chore !== "string") return null;
+  const slash = t.chore.lastIndexOf("/");
+  const index = Number(t.chore.slice(slash + 1));
+  const state = typeof t.status === "string" ? TASK_STATES[t.status] : undefined;
+  if (slash < 1 || state === undefined || !isCount(index) || !isCount(t.try)) return null;
+  const why = t.cause == null ? null : (WHYS[t.cause] ?? "error");
+  return { job: t.chore.slice(0, slash), index, attempt: t.try, state, why };
+};
+
+/** null: not a report. Whatever comes, nothing is thrown. */
 export const parseReport = (value: unknown): WorkerReport | null => {
   const r = value as WireReport | null | undefined;
   if (typeof r !== "object" || r === null) return null;
-  if (typeof r.hearth !== "string" || typeof r.endpoint !== "string") return null;
-  if (typeof r.build !== "string" || typeof r.district !== "string") return null;
-  if (!Number.isSafeInteger(r.shift) || !Number.isSafeInteger(r.tally)) return null;
-  if (!Number.isSafeInteger(r.baton ?? 0) || (r.chores != null && !Array.isArray(r.chores))) return null;
+  if (typeof r.hearth !== "string" || r.hearth === "" || r.hearth.length > 100) return null;
+  if (!isEndpoint(r.endpoint) || typeof r.build !== "string" || typeof r.district !== "string") return null;
+  if (!isCount(r.shift) || !isCount(r.tally) || !isCount(r.baton ?? 0)) return null;
+  if (r.chores != null && !Array.isArray(r.chores)) return null;
   const tasks: TaskReport[] = [];
-  for (const t of r.chores ?? []) {
-    const slash = t.chore.lastIndexOf("/");
-    const state = TASK_STATES[t.status];
-    if (slash < 0 || state === undefined) return null;
-    tasks.push({
-      job: t.chore.slice(0, slash),
-      index: Number(t.chore.slice(slash + 1)),
-      attempt: t.try,
-      state,
-      why: t.cause == null ? null : (WHYS[t.cause] ?? "error"),
-    });
+  for (const chore of r.chores ?? []) {
+    const task = parseTask(chore);
+    if (task === null) return null;
+    tasks.push(task);
   }
   return {
     machine: r.hearth,
     addr: r.endpoint,
     type: r.build,
     zone: r.district,
-    spot: r.loaners ?? false,
+    spot: r.loaners === true,
     session: r.shift,
     seq: r.tally,
     token: r.baton ?? 0,
-    noticeS: r.recall_s ?? null,
+    noticeS: typeof r.recall_s === "number" ? r.recall_s : null,
     tasks,
   };
 };
@@ -270,8 +283,7 @@
         type: m.build,
         zone: m.district,
         spot: m.loaners ?? false,
-        addr: m.endpoint ?? null,
-        open: false,
+        addr: isEndpoint(m.endpoint) ? m.endpoint : null,
       },
       failed: m.status === "failed",
       ageMs: (m.held_s ?? 0) * 1000,
--- a/src/io/peer-codec.ts
+++ b/src/io/peer-codec.ts
@@ -1,8 +1,7 @@
 /** What controllers say to one another, in Avro. */
 import avro from "avsc";
-import type { Order, TermRecord, WorkerReport } from "../core/records.js";
-import type { OrderOutcome } from "../core/scheduler.js";
-import type { AgedReport } from "../core/part.js";
+import type { Order, TermRecord } from "../core/records.js";
+import type { AgedReport, Outcome, Seen } from "../core/part.js";
 import type { Range } from "../core/ranges.js";
 
 const array = (items: unknown) => ({ type: "array", items });
@@ -39,37 +38,53 @@
   graceS: "double",
 });
 
-/** A member's news for the leader. */
+/** A member's news for the leader: what changed since its last one. */
 export interface Sync {
   readonly token: number;
   readonly member: string;
   readonly incarnation: number;
   /** The leader's own clock, as it was in the last answer that this member got from it; -1: none yet. */
   readonly mark: number;
+  /** The version of the jobs' progress in that answer; -1: none yet. */
+  readonly version: number;
   readonly stateOk: boolean;
-  readonly answered: readonly { machine: string; ageMs: number }[];
+  readonly seen: readonly Seen[];
   readonly reports: readonly AgedReport[];
   readonly stored: readonly { job: string; ranges: readonly Range[] }[];
+  readonly outcomes: readonly Outcome[];
+}
+export interface Progress {
+  readonly job: string;
+  readonly done: number;
+  readonly running: number;
+  /** Its commit record says done. */
+  readonly over: boolean;
 }
 export interface SyncAnswer {
   readonly token: number;
   /** false: this node doesn't lead that term, or isn't ready yet. */
   readonly ok: boolean;
   readonly mark: number;
+  readonly version: number;
   readonly stateOk: boolean;
-  readonly progress: readonly { job: string; done: number; running: number }[];
+  readonly progress: readonly Progress[];
 }
-/** Orders of the leader, to be delivered by a member. */
-export interface Deliver {
-  readonly term: TermRecord;
+/** Orders of the leader for many machines, to be delivered by a member; their outcomes come with its next news. */
+export interface Delivery {
+  readonly id: number;
   readonly machine: string;
   readonly addr: string;
   readonly session: number;
+  readonly token: number;
   readonly orders: readonly Order[];
 }
+export interface Deliver {
+  readonly term: TermRecord;
+  readonly items: readonly Delivery[];
+}
 export interface Delivered {
-  readonly outcome: OrderOutcome;
-  readonly report: WorkerReport | null;
+  /** false: this node may not send under that term; nothing was sent. */
+  readonly accepted: boolean;
 }
 
 export interface Codec<T> {
@@ -90,10 +105,12 @@
     member: "string",
     incarnation: "long",
     mark: "double",
+    version: "long",
     stateOk: "boolean",
-    answered: array(record("Answered", { machine: "string", ageMs: "double" })),
+    seen: array(record("Seen", { machine: "string", answeredMs: "double", heardMs: "double" })),
     reports: array(record("Aged", { report, ageMs: "double" })),
     stored: array(record("Stored", { job: "string", ranges: array(array("int")) })),
+    outcomes: array(record("Outcome", { id: "long", outcome: "string" })),
   }),
 );
 export const syncAnswerCodec = codec<SyncAnswer>(
@@ -101,26 +118,32 @@
     token: "long",
     ok: "boolean",
     mark: "double",
+    version: "long",
     stateOk: "boolean",
-    progress: array(record("Progress", { job: "string", done: "int", running: "int" })),
+    progress: array(record("Progress", { job: "string", done: "int", running: "int", over: "boolean" })),
   }),
 );
 export const deliverCodec = codec<Deliver>(
   record("Deliver", {
     term: record("Term", {
       token: "long",
+      key: "long",
       leader: "string",
       members: array(record("Member", { name: "string", incarnation: "long", zone: "string" })),
     }),
-    machine: "string",
-    addr: "string",
-    session: "long",
-    orders: array(order),
+    items: array(
+      record("Delivery", {
+        id: "long",
+        machine: "string",
+        addr: "string",
+        session: "long",
+        token: "long",
+        orders: array(order),
+      }),
+    ),
   }),
 );
-export const deliveredCodec = codec<Delivered>(
-  record("Delivered", { outcome: "string", report: ["null", report] }),
-);
+export const deliveredCodec = codec<Delivered>(record("Delivered", { accepted: "boolean" }));
 
 /** A node whose renewals fail asks the others whether its term is current. */
 export interface Word {
--- a/src/io/state-client.ts
+++ b/src/io/state-client.ts
@@ -26,6 +26,8 @@
 
 const TIMEOUT = Duration.seconds(1.5);
 const MAX_WAITING = 500;
+/** The leader writes the most: it has this share of all rates, the other nodes divide the rest. */
+const LEADERS_SHARE = 0.5;
 
 export class StateClient {
   private readonly agent: http.Agent = makeAgent(24);
@@ -39,14 +41,35 @@
 
   constructor(
     private readonly addr: string,
-    limits: { rps: number; writeRps: number },
-    nodes: number,
+    private readonly limits: { rps: number; writeRps: number },
+    private readonly nodes: number,
   ) {
     this.requests = new Budget(limits.rps / nodes);
     this.changes = new Budget(limits.writeRps / nodes);
   }
 
-  private admit(urgency: Urgency, changes: number): Effect.Effect<void, Unavailable> {
+  /** Whether this node leads: the leader's share is larger. */
+  setLeading(leading: boolean): void {
+    if (this.nodes === 1) return;
+    const share = leading ? LEADERS_SHARE : (1 - LEADERS_SHARE) / (this.nodes - 1);
+    this.requests.setRate(now(), this.limits.rps * share);
+    this.changes.setRate(now(), this.limits.writeRps * share);
+  }
+
+  private admit(
+    urgency: Urgency,
+    changes: number,
+    patience: Duration.Duration | undefined,
+  ): Effect.Effect<void, Unavailable> {
+    const admitted = this.admitted(urgency, changes);
+    if (patience === undefined) return admitted;
+    return Effect.timeoutFail(admitted, {
+      duration: patience,
+      onTimeout: () => new Unavailable({ why: "this node's share of requests is used up" }),
+    });
+  }
+
+  private admitted(urgency: Urgency, changes: number): Effect.Effect<void, Unavailable> {
     return Effect.suspend(() => {
       if (urgency === "first") {
         this.requests.takeFirst(now());
@@ -73,9 +96,10 @@
     changes = 0,
     timeout = TIMEOUT,
     agent = this.agent,
+    patience?: Duration.Duration,
   ): Effect.Effect<Reply, StateError> {
     return Effect.zipRight(
-      this.admit(urgency, changes),
+      this.admit(urgency, changes, patience),
       call(agent, { ...c, addr: this.addr, timeout }),
     ).pipe(
       Effect.mapError((error) => {
@@ -99,8 +123,12 @@
     );
   }
 
-  get(key: string, urgency: Urgency = "first"): Effect.Effect<Row | null, StateError> {
-    return this.send({ method: "GET", path: wire.get(key) }, urgency).pipe(
+  get(
+    key: string,
+    urgency: Urgency = "first",
+    patience?: Duration.Duration,
+  ): Effect.Effect<Row | null, StateError> {
+    return this.send({ method: "GET", path: wire.get(key) }, urgency, 0, TIMEOUT, this.agent, patience).pipe(
       Effect.flatMap((reply) =>
         reply.status === 200
           ? Effect.succeed(wire.row(json(reply)))
@@ -137,9 +165,17 @@
     when: readonly Condition[],
     apply: readonly Change[],
     urgency: Urgency = "first",
+    patience?: Duration.Duration,
   ): Effect.Effect<CommitResult, StateError> {
     const body = wire.commitBody(when, apply);
-    return this.send({ method: "POST", path: wire.commit, body }, urgency, apply.length).pipe(
+    return this.send(
+      { method: "POST", path: wire.commit, body },
+      urgency,
+      apply.length,
+      TIMEOUT,
+      this.agent,
+      patience,
+    ).pipe(
       Effect.flatMap((reply): Effect.Effect<CommitResult, StateError> => {
         const value = json(reply);
         if (reply.status === 200) return Effect.succeed({ ok: true, revision: wire.revision(value) });
--- a/src/io/worker-client.ts
+++ b/src/io/worker-client.ts
@@ -3,7 +3,7 @@
 import * as Effect from "effect/Effect";
 import type { Order, WorkerReport } from "../core/records.js";
 import type { OrderOutcome } from "../core/scheduler.js";
-import { call, json, makeAgent } from "./call.js";
+import { call, closeFree, json, makeAgent } from "./call.js";
 import { ordersBody, ordersPath, parseReport } from "./codec.js";
 
 const TIMEOUT = Duration.seconds(2);
@@ -11,31 +11,54 @@
 const QUESTION_TIMEOUT = Duration.seconds(1);
 
 export class WorkerClient {
-  private readonly agent = makeAgent(2);
+  private readonly agent = makeAgent(1);
+  /** Calls under way: their time runs only once they are, so machines that hang don't hold up the others for long. */
+  private readonly places: Effect.Semaphore;
+  /** Workers to which a connection is kept, the longest unused first. */
+  private readonly kept = new Set<string>();
+
+  /** `sockets`: the most that may be open to workers at a time, in use and kept. */
+  constructor(private readonly sockets: number) {
+    this.places = Effect.unsafeMakeSemaphore(Math.ceil(sockets / 2));
+  }
+
+  private keep(addr: string): void {
+    this.kept.delete(addr);
+    this.kept.add(addr);
+    if (this.kept.size <= this.sockets / 2) return;
+    const oldest = this.kept.values().next().value!;
+    this.kept.delete(oldest);
+    closeFree(this.agent, oldest);
+  }
 
   orders(
     addr: string,
     token: number,
     session: number,
     orders: readonly Order[],
+    /** Asked again when its turn comes. */
+    maySend: () => boolean = () => true,
   ): Effect.Effect<{ outcome: OrderOutcome; report: WorkerReport | null }> {
     const body = ordersBody(token, session, orders);
-    return call(this.agent, {
-      addr,
-      method: "POST",
-      path: ordersPath,
-      body,
-      timeout: orders.length === 0 ? QUESTION_TIMEOUT : TIMEOUT,
-    }).pipe(
-      Effect.map((reply) => {
-        const report = reply.status === 200 || reply.status === 409 ? parseReport(json(reply)) : null;
-        if (reply.status === 200)
-          return { outcome: (report === null ? "unknown" : "done") as OrderOutcome, report };
-        return { outcome: "rejected" as const, report };
-      }),
-      Effect.catchAll((failed) =>
-        Effect.succeed({ outcome: (failed.sent ? "unknown" : "unsent") as OrderOutcome, report: null }),
-      ),
-    );
+    const timeout = orders.length === 0 ? QUESTION_TIMEOUT : TIMEOUT;
+    const ask = Effect.suspend(() => {
+      if (!maySend()) return Effect.succeed(null);
+      this.keep(addr);
+      return call(this.agent, { addr, method: "POST", path: ordersPath, body, timeout });
+    });
+    return this.places
+      .withPermits(1)(ask)
+      .pipe(
+        Effect.map((reply) => {
+          if (reply === null) return { outcome: "barred" as OrderOutcome, report: null };
+          const report = reply.status === 200 || reply.status === 409 ? parseReport(json(reply)) : null;
+          if (reply.status === 200)
+            return { outcome: (report === null ? "unknown" : "done") as OrderOutcome, report };
+          return { outcome: "rejected" as OrderOutcome, report };
+        }),
+        Effect.catchAll((failed) =>
+          Effect.succeed({ outcome: (failed.sent ? "unknown" : "unsent") as OrderOutcome, report: null }),
+        ),
+      );
   }
 }
--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -33,6 +33,7 @@
 const MAX_BODY = 64 * 1024;
 /** Users' requests under way at once; more are told to come back. */
 const MAX_OPEN = 400;
+const RETRY_AFTER_S = 1;
 const JOB_ID = /^req-[0-9]{1,18}$/;
 
 export interface FrontOptions {
@@ -72,7 +73,7 @@
       "content-type": "application/json",
       "content-length": Buffer.byteLength(a.body),
     };
-    if (a.status === 503) headers["retry-after"] = "1";
+    if (a.status === 503) headers["retry-after"] = String(RETRY_AFTER_S);
     response.writeHead(a.status, headers).end(a.body);
   }
 
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -3,26 +3,31 @@
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import type { FleetOptions } from "../core/fleet.js";
+import { ProgressLog } from "../core/progress.js";
 import {
   type CommitRecord,
   keys,
   type MachineRecord,
+  type MachinesRecord,
+  type Order,
   type RangesRecord,
   type RentalRecord,
   type Team,
   type TermRecord,
   type WorkerReport,
 } from "../core/records.js";
-import { type Decision, Scheduler } from "../core/scheduler.js";
+import { type Decision, type OrderOutcome, Scheduler } from "../core/scheduler.js";
 import type { Spans } from "../core/term.js";
-import { type Instant, instant, minus } from "../core/time.js";
+import { type Instant, instant, minus, passed } from "../core/time.js";
 import { now } from "../io/clock.js";
 import type { CloudClient } from "../io/cloud-client.js";
-import { type Change, specOf, type WireJob, type WireType } from "../io/codec.js";
+import type { Change, WireType } from "../io/codec.js";
 import type { Log } from "../io/log.js";
-import type { Deliver, Delivered, Sync, SyncAnswer } from "../io/peer-codec.js";
+import type { Delivery, Progress, Sync, SyncAnswer } from "../io/peer-codec.js";
 import type { StateClient } from "../io/state-client.js";
+import { Blocks } from "./blocks.js";
 import { Guarded } from "./guarded.js";
+import { collect } from "./mailbox.js";
 import type { Member } from "./member.js";
 import type { Leadership, Membership } from "./membership.js";
 import type { Mirror, MirroredJob } from "./mirror.js";
@@ -36,10 +41,29 @@
   readonly fleet: FleetOptions;
   readonly startGoals: ReadonlyMap<string, Duration.Duration>;
   readonly txnOps: number;
+  readonly valueKb: number;
   readonly listEvery: Duration.Duration;
 }
 
 const STEP_EVERY = Duration.millis(250);
+/** Events that come together are decided on together. */
+const STEP_GATHER = Duration.millis(35);
+/** Orders of which nothing was heard for this long may be executed yet. */
+const GIVEN_UP_AFTER = Duration.seconds(6);
+const SWEEP_EVERY = Duration.seconds(1);
+const LIST_RANGES_EVERY = Duration.seconds(30);
+const MAX_ENDED = 4000;
+const BYTES_A_MACHINE = 200;
+/** Blocks of machines that one sweep shortens: a transaction holds 64 KiB. */
+const MAX_REWRITES = 3;
+const ORDERS_IN_TERM = 1_000_000_000;
+
+interface Pending {
+  readonly machine: string;
+  readonly orders: readonly Order[];
+  readonly token: number;
+  readonly at: Instant;
+}
 
 const describe = (r: WorkerReport): string =>
   r.tasks.map((t) => `${t.job}/${t.index} ${t.state}${t.why === null ? "" : ` ${t.why}`}`).join(", ");
@@ -50,8 +74,17 @@
   private reread = 0;
   private readonly stepNow = new Signal();
   private readonly records: { id: string; record: MachineRecord }[] = [];
-  private readonly stray: string[] = [];
+  private blocks = new Blocks();
+  /** Keys that are of no more use; and when the ranges were last looked through for such. */
+  private readonly useless = new Set<string>();
+  private rangesListed: Instant = now();
   private rentals = 0;
+  /** Order batches under way, the oldest first. */
+  private readonly pending = new Map<number, Pending>();
+  private batches = 0;
+  private progress = new ProgressLog();
+  /** Jobs that this leader finished, with their tasks: other members needn't ask the state service. */
+  private readonly ended = new Map<string, number>();
   private fibers: Fiber.RuntimeFiber<unknown, unknown>[] = [];
   private members = new Map<string, { at: Instant; ok: boolean }>();
 
@@ -78,15 +111,18 @@
   }
 
   private jobOver(id: string): void {
-    this.member.part.jobOver(id);
+    this.member.jobOver(id);
     if (this.guarded === null) return;
     this.guarded.with((s) => s.jobOver(id));
-    this.stray.push(id);
     this.stepNow.poke();
   }
 
   private stop(): void {
     this.guarded = null;
+    this.pending.clear();
+    this.records.length = 0;
+    this.useless.clear();
+    this.state.setLeading(false);
     this.member.localLeader = null;
     const fibers = this.fibers;
     this.fibers = [];
@@ -98,8 +134,14 @@
     this.members.set(m.member, { at: now(), ok: m.stateOk });
     const term = this.membership.term;
     const scheduler = this.guarded;
-    const base = { token: term?.token ?? 0, mark: now(), stateOk: this.member.stateOk() };
-    if (scheduler === null || term === null || m.token !== term.token || !this.membership.leads()) {
+    const base = {
+      token: term?.token ?? 0,
+      mark: now(),
+      version: this.progress.version,
+      stateOk: this.member.stateOk(),
+    };
+    const member = term?.members.some((x) => x.name === m.member && x.incarnation === m.incarnation);
+    if (scheduler === null || member !== true || m.token !== term?.token || !this.membership.leads()) {
       this.membership.heardOf(m.token);
       return { ...base, ok: false, progress: [] };
     }
@@ -111,18 +153,31 @@
           this.log.debug({ machine: r.machine, tasks: describe(r) }, "report");
       }
       for (const { job, ranges } of m.stored) s.stored(job, ranges);
-      s.vouched(
-        m.member,
-        m.incarnation,
-        m.token,
-        m.mark < 0 ? null : instant(m.mark),
-        m.answered.map((a) => ({ machine: a.machine, at: minus(at, Duration.millis(a.ageMs)) })),
-      );
-      if (m.reports.length > 0 || m.stored.length > 0) this.stepNow.poke();
-      return { ...base, ok: true, progress: s.progress() };
+      const answered = [];
+      for (const { machine, answeredMs, heardMs } of m.seen) {
+        if (heardMs >= 0) s.heard(machine, minus(at, Duration.millis(heardMs)));
+        if (answeredMs >= 0) answered.push({ machine, at: minus(at, Duration.millis(answeredMs)) });
+      }
+      s.vouched(m.member, m.incarnation, m.token, m.mark < 0 ? null : instant(m.mark), answered);
+      for (const { id, outcome } of m.outcomes) this.answered(s, id, outcome);
+      if (m.reports.length + m.stored.length + m.outcomes.length > 0) this.stepNow.poke();
+      return { ...base, ok: true, progress: this.progressSince(s, m.version) };
     });
   };
 
+  private progressSince(s: Scheduler, version: number): Progress[] {
+    const changed = this.progress.since(version);
+    const out: Progress[] = [];
+    for (const id of changed ?? s.cluster.jobs.keys()) {
+      const job = s.cluster.jobs.get(id);
+      const tasks = this.ended.get(id);
+      if (tasks !== undefined) out.push({ job: id, done: tasks, running: 0, over: true });
+      else if (job !== undefined)
+        out.push({ job: id, done: job.done.size, running: job.running, over: false });
+    }
+    return out;
+  }
+
   /** Whether some other node says that it reaches the state service. */
   othersReachState(): boolean {
     const recent = (x: { at: Instant; ok: boolean }) => x.ok && now() - x.at < 2500;
@@ -154,30 +209,37 @@
     );
     if (this.membership.leadership !== leadership || this.membership.term !== term) return;
     const scheduler = new Scheduler(this.options, term, leadership.stamp, began);
-    for (const row of machines.rows)
-      scheduler.recorded(row.key.slice(keys.machines.length), row.value as MachineRecord, began);
+    this.progress = new ProgressLog();
+    scheduler.cluster.progressed = (job) => this.progress.changed(job.spec.id);
+    this.blocks = new Blocks();
+    for (const row of machines.rows) {
+      const record = (row.value as MachinesRecord).machines;
+      this.blocks.add(row.key, record);
+      for (const [id, machine] of Object.entries(record)) scheduler.recorded(id, machine, began);
+    }
     scheduler.setTypes(this.mirror.types);
     this.reread = jobs.revision;
     for (const row of jobs.rows) {
-      scheduler.jobSeen(specOf(row.value as WireJob), row.stamp, now());
-      this.mirror.put(row.key, row.value, row.stamp);
+      const job = this.mirror.put(row.key, row.value, row.stamp);
+      if (typeof job !== "string") scheduler.jobSeen(job.spec, job.stamp, now());
     }
     for (const row of ranges.rows) {
       const id = row.key.split("/")[1]!;
       if (scheduler.cluster.jobs.has(id)) scheduler.stored(id, (row.value as RangesRecord).ranges);
-      else this.stray.push(id);
+      else this.useless.add(row.key);
     }
     // the mirror may have heard of later jobs, and later ends, while the records were read
     for (const job of this.mirror.jobs.values())
       if (job.stamp > jobs.revision) scheduler.jobSeen(job.spec, job.stamp, now());
     for (const id of [...scheduler.cluster.jobs.keys()]) if (!this.mirror.jobs.has(id)) scheduler.jobOver(id);
     this.guarded = new Guarded(scheduler);
+    this.state.setLeading(true);
     this.member.localLeader = this.sync;
     this.log.info(
       {
         term: term.token,
         jobs: jobs.rows.length,
-        machines: machines.rows.length,
+        machines: scheduler.cluster.machines.size,
         rentals: rentals.rows.length,
       },
       "leads",
@@ -191,7 +253,8 @@
     yield* this.fork(this.listLoop);
     yield* this.fork(this.typesLoop);
     yield* this.fork(this.recordLoop(leadership));
-    yield* this.fork(this.strayLoop);
+    yield* this.fork(this.sweepLoop);
+    yield* this.fork(collect(this.state, this.log, this.sync));
     yield* this.fork(this.summaryLoop);
   });
 
@@ -240,9 +303,19 @@
 
   private readonly stepLoop = Effect.gen(this, function* () {
     yield* this.stepNow.wait(STEP_EVERY);
-    yield* Effect.sleep(Duration.millis(5));
+    yield* Effect.sleep(STEP_GATHER);
     if (this.guarded === null || !this.membership.leads()) return;
-    for (const d of this.guarded.with((s) => s.step(now()))) yield* this.fork(this.carryOut(d));
+    const decisions = this.guarded.with((s) => {
+      this.giveUp(s);
+      return s.step(now());
+    });
+    const orders = new Map<string | null, Delivery[]>();
+    for (const d of decisions)
+      if (d.kind === "orders") {
+        const via = this.route(d.via);
+        (orders.get(via) ?? orders.set(via, []).get(via)!).push(this.delivery(d));
+      } else yield* this.fork(this.carryOut(d));
+    for (const [via, items] of orders) yield* this.fork(this.sendOrders(via, items));
   }).pipe(
     Effect.catchAllCause((cause) =>
       Effect.sync(() => this.log.error({ cause: cause.toString() }, "step failed")),
@@ -250,10 +323,8 @@
     Effect.forever,
   );
 
-  private carryOut(d: Decision): Effect.Effect<void> {
+  private carryOut(d: Exclude<Decision, { kind: "orders" }>): Effect.Effect<void> {
     switch (d.kind) {
-      case "orders":
-        return this.sendOrders(d);
       case "commit":
         return this.commitJob(d.job, d.tasks);
       case "record":
@@ -262,83 +333,88 @@
         return this.rent(d);
       case "release":
         return this.release(d.machines, d.why);
-      case "newTerm":
-        return this.renewTerm(d.why).pipe(Effect.ignore);
       case "note":
         return Effect.sync(() => this.log.info({ term: this.membership.term?.token }, d.text));
     }
   }
 
-  private sendOrders(d: Extract<Decision, { kind: "orders" }>): Effect.Effect<void> {
+  /** The member that sends orders to a machine; null: this node itself. */
+  private route(via: string | null): string | null {
+    const member = this.membership.term?.members.some((m) => m.name === via) ?? false;
+    return member && via !== this.options.me ? via : null;
+  }
+
+  private delivery(d: Extract<Decision, { kind: "orders" }>): Delivery {
+    // not used again, also not by a later leader
+    const id = (this.membership.term?.token ?? 0) * ORDERS_IN_TERM + ++this.batches;
+    const { machine, addr, session, token, orders } = d;
+    this.pending.set(id, { machine, orders, token, at: now() });
+    if (orders.length > 0 && this.log.isLevelEnabled("debug"))
+      this.log.debug(
+        { token, machine, orders: orders.map((o) => `${o.op} ${o.job}/${o.index}`).join(", ") },
+        "orders",
+      );
+    return { id, machine, addr, session, token, orders };
+  }
+
+  private sendOrders(via: string | null, items: readonly Delivery[]): Effect.Effect<void> {
     return Effect.gen(this, function* () {
       const term = this.membership.term;
       if (term === null || this.guarded === null) return;
-      const deliver: Deliver = {
-        term,
-        machine: d.machine,
-        addr: d.addr,
-        session: d.session,
-        orders: d.orders,
-      };
-      if (d.orders.length > 0)
-        this.log.info(
-          {
-            term: term.token,
-            machine: d.machine,
-            orders: d.orders.map((o) => `${o.op} ${o.job}/${o.index}`).join(", "),
-          },
-          "orders",
-        );
-      const via = d.via === this.options.me || !term.members.some((m) => m.name === d.via) ? null : d.via;
-      let result: Delivered | null = null;
-      if (via !== null)
-        result = yield* this.peers.deliver(via, deliver).pipe(
-          Effect.map((r) => r ?? { outcome: "unsent" as const, report: null }),
-          Effect.catchAll((e) =>
-            Effect.succeed({ outcome: e.sent ? ("unknown" as const) : ("unsent" as const), report: null }),
-          ),
-        );
-      // the part's member can't be reached, or didn't send: this node sends by itself
-      // and a question without orders may be asked twice
-      if (
-        result === null ||
-        result.outcome === "unsent" ||
-        result.outcome === "barred" ||
-        (result.outcome === "unknown" && d.orders.length === 0)
-      )
-        result = yield* this.member.deliver(deliver);
-      const { outcome, report } = result;
-      if (outcome !== "done")
-        this.log.info(
-          { term: term.token, machine: d.machine, outcome, count: d.orders.length },
-          "orders not answered",
-        );
-      this.guarded?.with((s) => {
-        if (report !== null) s.report(report, via ?? this.options.me, now());
-        s.ordersAnswered(d.machine, d.orders, term.token, outcome);
+      const sent =
+        via === null
+          ? "not"
+          : yield* this.peers.deliver(via, { term, items }).pipe(
+              Effect.map((answer) => (answer?.accepted === true ? ("yes" as const) : ("not" as const))),
+              Effect.catchAll((e) => Effect.succeed(e.sent ? ("maybe" as const) : ("not" as const))),
+            );
+      if (sent === "yes") return;
+      // the part's member can't be reached, or may not send: this node sends by itself; questions may be put twice
+      const own = sent === "not" ? items : items.filter((item) => item.orders.length === 0);
+      const local = yield* this.member.deliver({ term, items: own });
+      this.guarded.with((s) => {
+        for (const item of items)
+          if (!own.includes(item)) this.answered(s, item.id, "unknown");
+          else if (!local.accepted) this.answered(s, item.id, "barred");
       });
       this.stepNow.poke();
     });
   }
 
+  private answered(s: Scheduler, id: number, outcome: OrderOutcome): void {
+    const batch = this.pending.get(id);
+    if (batch === undefined) return;
+    this.pending.delete(id);
+    s.ordersAnswered(batch.machine, batch.orders, batch.token, outcome, now());
+    if (outcome !== "done" && outcome !== "barred")
+      this.log.debug({ machine: batch.machine, outcome, count: batch.orders.length }, "orders not answered");
+  }
+
+  private giveUp(s: Scheduler): void {
+    for (const [id, batch] of this.pending) {
+      if (!passed(now(), batch.at, GIVEN_UP_AFTER)) return;
+      this.answered(s, id, "unknown");
+    }
+  }
+
   private commitJob(id: string, tasks: number): Effect.Effect<void> {
     return Effect.gen(this, function* () {
       const leadership = this.membership.leadership;
       if (leadership === null) return;
       const record: CommitRecord = { outcome: "done", tasks };
-      const ranges = yield* this.state.list(`${keys.ranges}${id}/`);
-      const deletes = ranges.rows.slice(0, this.options.txnOps - 2).map((r): Change => ({ delete: r.key }));
       const result = yield* this.state.commit(
         [
           { key: keys.commit(id), stamp: 0 },
           { key: keys.leader, stamp: leadership.stamp },
         ],
-        [{ put: keys.commit(id), value: record }, { delete: keys.job(id) }, ...deletes],
+        [{ put: keys.commit(id), value: record }, { delete: keys.job(id) }],
       );
       if (result.ok === true) {
         this.log.info({ job: id, term: this.membership.term?.token }, "done");
-        if (deletes.length < ranges.rows.length) this.stray.push(id);
-        this.mirror.remove(id);
+        this.ended.set(id, tasks);
+        if (this.ended.size > MAX_ENDED) this.ended.delete(this.ended.keys().next().value!);
+        this.progress.changed(id);
+        this.member.onDone(id, tasks);
         return;
       }
       // a commit that exists is the outcome for ever, whichever it is
@@ -356,46 +432,64 @@
     );
   }
 
-  /** Machine records are written in batches; a machine gets its first start only afterwards. */
+  /** Machines are recorded many at a time; a machine gets its first start only afterwards. */
   private recordLoop(leadership: Leadership) {
     return Effect.gen(this, function* () {
-      yield* Effect.sleep(Duration.millis(50));
-      const batch = this.records.splice(0, this.options.txnOps);
+      yield* Effect.sleep(Duration.millis(100));
+      const most = Math.max(1, Math.floor((this.options.valueKb * 1024) / BYTES_A_MACHINE));
+      const batch = this.records.splice(0, most);
       if (batch.length === 0) return;
+      const key = keys.machinesOf(`${this.membership.term?.token}-${++this.batches}`);
+      const machines = Object.fromEntries(batch.map((b) => [b.id, b.record]));
+      // also when the answer is lost: what may be written has to be deleted some day
+      this.blocks.add(key, machines);
       const result = yield* this.state
         .commit(
-          [{ key: keys.leader, stamp: leadership.stamp }],
-          batch.map((b) => ({ put: keys.machine(b.id), value: b.record })),
+          [
+            { key: keys.leader, stamp: leadership.stamp },
+            { key, stamp: 0 },
+          ],
+          [{ put: key, value: { machines } satisfies MachinesRecord }],
         )
         .pipe(Effect.orElseSucceed(() => null));
       this.guarded?.with((s) => {
-        for (const b of batch) {
+        for (const b of batch)
           if (result?.ok === true) s.recorded(b.id, b.record, now());
           else s.recordFailed(b.id);
-        }
       });
       this.stepNow.poke();
       if (result?.ok !== true) yield* Effect.sleep(Duration.millis(300));
     }).pipe(Effect.forever);
   }
 
-  /** Ranges of jobs that are over: deleted after the commit. */
-  private readonly strayLoop = Effect.gen(this, function* () {
-    yield* Effect.sleep(Duration.seconds(1));
-    const id = this.stray.shift();
+  /** Deletes and shortens, without haste, what is of no more use: rentals, ranges, records of machines gone. */
+  private readonly sweepLoop = Effect.gen(this, function* () {
+    yield* Effect.sleep(SWEEP_EVERY);
     const leadership = this.membership.leadership;
-    if (id === undefined || leadership === null) return;
-    const [ranges, job] = yield* Effect.all([
-      this.state.list(`${keys.ranges}${id}/`),
-      this.state.get(keys.job(id)),
-    ]);
-    if (job !== null) return;
-    for (let at = 0; at < ranges.rows.length; at += this.options.txnOps)
-      yield* this.state.commit(
-        [{ key: keys.leader, stamp: leadership.stamp }],
-        ranges.rows.slice(at, at + this.options.txnOps).map((r) => ({ delete: r.key })),
-        "later",
-      );
+    if (leadership === null || this.guarded === null) return;
+    if (passed(now(), this.rangesListed, LIST_RANGES_EVERY)) {
+      this.rangesListed = now();
+      const { rows } = yield* this.state.list(keys.ranges);
+      this.guarded?.with((s) => {
+        for (const row of rows) if (!s.cluster.jobs.has(row.key.split("/")[1]!)) this.useless.add(row.key);
+      });
+    }
+    const deletes = [...this.useless].slice(0, this.options.txnOps - MAX_REWRITES);
+    const rewrites = this.blocks.changed(MAX_REWRITES);
+    if (deletes.length + rewrites.length === 0) return;
+    const result = yield* this.state.commit(
+      [{ key: keys.leader, stamp: leadership.stamp }],
+      [
+        ...deletes.map((key) => ({ delete: key })),
+        ...rewrites.map(({ key, machines }): Change =>
+          machines === null ? { delete: key } : { put: key, value: { machines } },
+        ),
+      ],
+      "later",
+    );
+    if (result.ok !== true) return;
+    for (const key of deletes) this.useless.delete(key);
+    this.blocks.written(rewrites);
   }).pipe(Effect.ignore, Effect.forever);
 
   // --- cloud -------------------------------------------------------------------------------------------
@@ -403,7 +497,8 @@
   private readonly fleetLoop = Effect.gen(this, function* () {
     yield* Effect.sleep(Duration.millis(700));
     if (this.guarded === null || !this.membership.leads()) return;
-    for (const d of this.guarded.with((s) => s.stepFleet(now()))) yield* this.fork(this.carryOut(d));
+    for (const d of this.guarded.with((s) => s.stepFleet(now())))
+      if (d.kind !== "orders") yield* this.fork(this.carryOut(d));
   }).pipe(
     Effect.catchAllCause((cause) =>
       Effect.sync(() => this.log.error({ cause: cause.toString() }, "fleet failed")),
@@ -453,31 +548,10 @@
         // while it is uncertain it stays asked for, so nothing is rented twice
         yield* Effect.sleep(Duration.millis(Math.min(4000, 500 * 2 ** tries++)));
       }
-      const record: MachineRecord = { type: r.type, zone: r.zone, spot: r.spot, addr: null, open: false };
       const got = machines ?? [];
-      let stored = false;
-      const key = { key: keys.leader, stamp: leadership.stamp };
-      for (let i = 0; i < 20 && !stored; i++) {
-        const batch = got.slice(0, this.options.txnOps - 1);
-        const result = yield* this.state
-          .commit(
-            // a machine may be up and recorded as open by now: that must not be taken back, also not late
-            [key, ...batch.map((id) => ({ key: keys.machine(id), stamp: 0 }))],
-            [
-              { delete: keys.rental(name) },
-              ...batch.map((id): Change => ({ put: keys.machine(id), value: record })),
-            ],
-          )
-          .pipe(Effect.orElseSucceed(() => null));
-        if (result?.ok === true) stored = true;
-        else if (result?.ok === false) {
-          if (result.failed.includes(keys.leader)) return;
-          // an earlier try was carried out, or the machines were recorded otherwise
-          yield* this.state.commit([key], [{ delete: keys.rental(name) }]).pipe(Effect.ignore);
-          break;
-        } else yield* Effect.sleep(Duration.millis(400));
-      }
-      this.log.info({ rental: name, machines: got, refused: machines === null }, "rental answered");
+      // sent again under the same name it would only get the same answer: its record can go in its turn
+      this.useless.add(keys.rental(name));
+      this.log.info({ rental: name, got: got.length, refused: machines === null }, "rental answered");
       this.guarded?.with((s) => s.rentalAnswered(name, r, got, now()));
       this.stepNow.poke();
     });
@@ -487,21 +561,17 @@
     return Effect.gen(this, function* () {
       const leadership = this.membership.leadership;
       if (leadership === null) return;
-      this.log.info({ machines, why, term: this.membership.term?.token }, "releases");
+      this.log.info(
+        { count: machines.length, machines: machines.slice(0, 5), why, term: this.membership.term?.token },
+        "releases",
+      );
       const gone = yield* this.cloud.release(machines).pipe(
         Effect.as(true),
         Effect.orElseSucceed(() => false),
       );
       this.guarded?.with((s) => s.releaseAnswered(machines, gone, now()));
       this.stepNow.poke();
-      if (!gone) return;
-      for (let at = 0; at < machines.length; at += this.options.txnOps)
-        yield* this.state
-          .commit(
-            [{ key: keys.leader, stamp: leadership.stamp }],
-            machines.slice(at, at + this.options.txnOps).map((id) => ({ delete: keys.machine(id) })),
-          )
-          .pipe(Effect.ignore);
+      if (gone) for (const id of machines) this.blocks.remove(id);
     });
   }
 
--- a/src/service/member.ts
+++ b/src/service/member.ts
@@ -2,15 +2,16 @@
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
 import type { WorkerReport } from "../core/records.js";
-import { keys } from "../core/records.js";
+import { keys, type TermRecord } from "../core/records.js";
 import { type BeatAnswer, Part, type Writing } from "../core/part.js";
-import type { Instant } from "../core/time.js";
+import { type Instant, passed } from "../core/time.js";
 import { now } from "../io/clock.js";
 import type { Change, Condition } from "../io/codec.js";
 import type { Log } from "../io/log.js";
-import type { Deliver, Delivered, Sync, SyncAnswer } from "../io/peer-codec.js";
+import type { Deliver, Delivered, Delivery, Sync, SyncAnswer } from "../io/peer-codec.js";
 import type { StateClient } from "../io/state-client.js";
 import type { WorkerClient } from "../io/worker-client.js";
+import { post } from "./mailbox.js";
 import type { Membership } from "./membership.js";
 import type { Peers } from "./peers.js";
 import { Signal } from "./signal.js";
@@ -18,6 +19,18 @@
 /** Bytes of one ranges record: so small that a full transaction stays under its limit. */
 const RANGES_BYTES = 3000;
 const SYNC_EVERY = Duration.seconds(1);
+/** News that come together go together. */
+const SYNC_GATHER = Duration.millis(60);
+/** A finish is safe on its machine; it is stored once others of its job had time to join it. */
+const STORE_GATHER = Duration.seconds(4);
+const STORE_EVERY = Duration.seconds(1);
+const PRUNE_EVERY = Duration.seconds(5);
+/** After this long without reaching the leader, news go through the state service, this often. */
+const POST_AFTER = Duration.millis(800);
+const POST_EVERY = Duration.seconds(1);
+const POST_REPORTS = 60;
+/** Deliveries at most under way here; a leader that wants more sends them itself. */
+const MAX_DELIVERIES = 2000;
 
 export interface MemberOptions {
   readonly me: string;
@@ -29,14 +42,22 @@
 export class Member {
   readonly part: Part;
   private readonly syncNow = new Signal();
-  private readonly storeNow = new Signal();
   private mark = -1;
+  private version = -1;
   private markToken = 0;
+  private reachedLeader: Instant = now();
+  private posted: Instant | null = null;
+  private pruned: Instant = now();
+  private delivering = 0;
   /** Whether the other nodes reach the state service, by their own word: node -> (when said, reaches it). */
   readonly others = new Map<string, { at: Instant; ok: boolean }>();
-  progress = new Map<string, { done: number; running: number }>();
+  readonly progress = new Map<string, { done: number; running: number }>();
   /** Set when this node leads: the leader is then told without a message. */
   localLeader: ((sync: Sync) => SyncAnswer) | null = null;
+  /** The leader's word that a job is done, its commit record being there. */
+  onDone: (job: string, tasks: number) => void = () => undefined;
+  /** Whether a job is known and unfinished here. */
+  isOpen: (job: string) => boolean = () => true;
 
   constructor(
     private readonly options: MemberOptions,
@@ -46,7 +67,7 @@
     private readonly peers: Peers,
     private readonly log: Log,
   ) {
-    this.part = new Part(options.me, Math.min(RANGES_BYTES, options.valueKb * 1024));
+    this.part = new Part(options.me, Math.min(RANGES_BYTES, options.valueKb * 1024), STORE_GATHER);
   }
 
   /** Whether this node reaches the state service. */
@@ -57,15 +78,12 @@
 
   beat(r: WorkerReport): BeatAnswer {
     const answer = this.part.beat(r, this.membership.mayAnswer(), this.membership.incarnation, now());
-    if (answer.kind === "taken") {
-      this.wake();
-    }
+    if (answer.kind === "taken") this.wake();
     return answer;
   }
 
   private wake(): void {
     if (this.part.hasNews()) this.syncNow.poke();
-    if (this.part.hasUnstored()) this.storeNow.poke();
   }
 
   readonly termChanged = (): void => this.syncNow.poke();
@@ -79,55 +97,111 @@
           yield* Effect.sleep(Duration.millis(25));
       }
       for (let i = 0; i < 20 && !this.membership.entitled(); i++) yield* Effect.sleep(Duration.millis(25));
-      if (this.membership.term?.token !== d.term.token || !this.membership.entitled())
-        return { outcome: "barred" as const, report: null };
-      const result = yield* this.workers.orders(d.addr, d.term.token, d.session, d.orders);
-      if (result.report !== null) {
-        this.part.take(result.report, now());
-        this.wake();
-      }
-      return result;
+      const may = this.maySend(d.term) && this.delivering + d.items.length <= MAX_DELIVERIES;
+      if (may) for (const item of d.items) Effect.runFork(this.send(d.term, item));
+      return { accepted: may };
     });
   }
 
-  private readonly syncOnce = Effect.gen(this, function* () {
-    const term = this.membership.term;
-    if (term === null) return;
-    if (this.markToken !== term.token) {
+  private maySend(term: TermRecord): boolean {
+    return this.membership.term?.token === term.token && this.membership.entitled();
+  }
+
+  /** One machine's orders; their outcome is news for the leader. */
+  private send(term: TermRecord, d: Delivery): Effect.Effect<void> {
+    this.delivering++;
+    // a queue may have held it up: what isn't allowed any more isn't sent
+    const send = Effect.suspend(() =>
+      this.maySend(term)
+        ? this.workers.orders(d.addr, d.token, d.session, d.orders, () => this.maySend(term))
+        : Effect.succeed({ outcome: "barred" as const, report: null }),
+    );
+    return Effect.map(send, ({ outcome, report }) => {
+      this.delivering--;
+      if (report !== null) this.part.take(report, now());
+      this.part.ordersDone(d.id, outcome);
+      this.wake();
+    });
+  }
+
+  private news(): Sync {
+    const token = this.membership.term!.token;
+    if (this.markToken !== token) {
       this.mark = -1;
-      this.markToken = term.token;
+      this.version = -1;
+      this.markToken = token;
     }
-    const at = now();
-    const news = this.part.news(at);
-    const sync: Sync = {
-      token: term.token,
+    return {
+      token,
       member: this.options.me,
       incarnation: this.membership.incarnation,
       mark: this.mark,
+      version: this.version,
       stateOk: this.stateOk(),
-      answered: [...this.part.answeredAt].map(([machine, t]) => ({ machine, ageMs: Math.max(0, at - t) })),
-      ...news,
+      ...this.part.news(now(), this.leaderIsCut() ? POST_REPORTS : Infinity),
     };
+  }
+
+  private leaderIsCut(): boolean {
+    return passed(now(), this.reachedLeader, POST_AFTER);
+  }
+
+  private readonly syncOnce = Effect.gen(this, function* () {
+    const term = this.membership.term;
+    if (term === null) return;
+    const sync = this.news();
     const answer =
       term.leader === this.options.me
         ? (this.localLeader?.(sync) ?? null)
         : yield* this.peers.sync(term.leader, sync).pipe(Effect.orElseSucceed(() => null));
-    if (answer === null || !answer.ok) {
-      if (answer !== null) this.membership.heardOf(answer.token);
-      this.part.untold(news);
-      yield* Effect.sleep(Duration.millis(100));
+    if (answer?.ok === true) {
+      this.reachedLeader = now();
+      this.told(term.leader, answer);
       return;
     }
-    if (this.markToken === answer.token) this.mark = answer.mark;
-    this.others.set(term.leader, { at: now(), ok: answer.stateOk });
-    this.progress = new Map(answer.progress.map((p) => [p.job, p]));
+    if (answer !== null) {
+      this.reachedLeader = now();
+      this.membership.heardOf(answer.token);
+    }
+    if (!(answer === null && term.leader !== this.options.me && (yield* this.post(sync))))
+      this.part.putBack(sync);
+    yield* Effect.sleep(Duration.millis(100));
   });
 
+  /** The leader can't be reached: its news are left in the state service. */
+  private post(sync: Sync): Effect.Effect<boolean> {
+    const { permit } = this.membership;
+    if (!this.leaderIsCut() || permit === null || !this.membership.entitled()) return Effect.succeed(false);
+    if (this.posted !== null && !passed(now(), this.posted, POST_EVERY)) return Effect.succeed(false);
+    this.posted = now();
+    return Effect.tap(post(this.state, this.options.me, permit, sync), (ok) =>
+      Effect.sync(() => this.log.info({ ok, reports: sync.reports.length }, "news left for the leader")),
+    );
+  }
+
+  private told(leader: string, answer: SyncAnswer): void {
+    if (this.markToken === answer.token) {
+      this.mark = answer.mark;
+      this.version = answer.version;
+    }
+    this.others.set(leader, { at: now(), ok: answer.stateOk });
+    for (const { job, done, running, over } of answer.progress) {
+      if (over) this.onDone(job, done);
+      else if (this.isOpen(job)) this.progress.set(job, { done, running });
+    }
+  }
+
+  jobOver(job: string): void {
+    this.part.jobOver(job);
+    this.progress.delete(job);
+  }
+
   private readonly syncLoop = Effect.gen(this, function* () {
     yield* this.syncNow.wait(SYNC_EVERY);
-    // several changes make one message
-    yield* Effect.sleep(Duration.millis(15));
+    yield* Effect.sleep(SYNC_GATHER);
     yield* this.syncOnce;
+    if (!passed(now(), this.pruned, PRUNE_EVERY)) return;
+    this.pruned = now();
     this.part.prune(now(), this.options.keepFor);
   }).pipe(
     Effect.catchAllCause((cause) =>
@@ -136,7 +210,7 @@
     Effect.forever,
   );
 
-  private write(writings: readonly Writing[]): Effect.Effect<void> {
+  private write(writings: readonly Writing[]): Effect.Effect<boolean> {
     return Effect.gen(this, function* () {
       const when: Condition[] = writings.map((w) => ({ key: keys.commit(w.job), stamp: 0 }));
       const apply: Change[] = writings.flatMap((w) =>
@@ -146,27 +220,23 @@
         .commit(when, apply, "later")
         .pipe(Effect.catchAll((e) => Effect.succeed({ ok: null, error: e.why } as const)));
       if (result.ok === null) this.log.debug({ why: result.error }, "finishes not stored yet");
-      let retry = false;
       for (const w of writings) {
         const over = result.ok === false && result.failed.includes(keys.commit(w.job));
-        this.part.storeAnswered(w, result.ok === true ? "stored" : over ? "over" : "failed");
-        if (result.ok !== true && !over) retry = true;
+        this.part.storeAnswered(w, result.ok === true ? "stored" : over ? "over" : "failed", now());
       }
-      if (retry && result.ok === null) yield* Effect.sleep(Duration.millis(200));
       this.wake();
+      return result.ok === true || (result.ok === false && result.failed.length > 0);
     });
   }
 
   private readonly storeLoop = Effect.gen(this, function* () {
-    yield* this.storeNow.wait(SYNC_EVERY);
-    // finishes that come together are stored together, well within a second of their report
-    yield* Effect.sleep(Duration.millis(150));
-    for (;;) {
-      if (this.membership.permit === null) break;
+    yield* Effect.sleep(STORE_EVERY);
+    let answered = true;
+    while (answered && this.membership.permit !== null) {
       const writer = `${this.options.me}.${this.membership.incarnation}`;
-      const writings = this.part.toStore(writer, this.options.txnOps);
+      const writings = this.part.toStore(writer, this.options.txnOps, now(), this.isOpen);
       if (writings.length === 0) break;
-      yield* this.write(writings);
+      answered = yield* this.write(writings);
     }
   }).pipe(
     Effect.catchAllCause((cause) =>
--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -36,6 +36,8 @@
   private readonly words = new Map<string, Instant>();
   private rows = new Map<string, Row>();
   private synced = false;
+  /** The revision up to which `rows` miss nothing. */
+  private watched = 0;
   private readonly renewNow = new Signal();
   readonly changed = new Signal();
   onTerm: (term: TermRecord) => void = () => undefined;
@@ -116,7 +118,11 @@
     yield* this.clearOld;
     const permit = yield* this.state.grant(this.spans.ttl);
     const record: MemberRecord = { zone: this.zone, permit };
-    const done = yield* this.state.commit([], [{ put: keys.member(this.me), value: record, permit }]);
+    // a late copy of an earlier process's write finds this key there and changes nothing
+    const done = yield* this.state.commit(
+      [{ key: keys.member(this.me), stamp: 0 }],
+      [{ put: keys.member(this.me), value: record, permit }],
+    );
     if (done.ok !== true) return;
     this.permit = permit;
     this.incarnation = done.revision;
@@ -140,6 +146,16 @@
     }
     this.setTerm(row);
     if (row !== null && row.stamp === this.termStamp) this.confirmed = sentAt;
+    // the lease lives, but the key isn't this process's: nobody counts it as a member
+    const mine = this.rows.get(keys.member(this.me))?.stamp;
+    if (this.synced && this.incarnation <= this.watched && mine !== this.incarnation) {
+      this.log.info("the member key is not this process's: joins anew");
+      yield* this.state.revoke(permit);
+      this.permit = null;
+      this.confirmed = null;
+      this.lose("the member key is gone");
+      return yield* this.join;
+    }
   });
 
   private readonly renewLoop = Effect.gen(this, function* () {
@@ -157,6 +173,7 @@
     const list = yield* this.state.list(keys.cluster);
     this.rows = new Map(list.rows.map((r) => [r.key, r]));
     this.synced = true;
+    this.watched = list.revision;
     this.react();
     let revision = list.revision;
     for (;;) {
@@ -165,6 +182,7 @@
         if (e.value === undefined) this.rows.delete(e.key);
         else this.rows.set(e.key, { key: e.key, value: e.value, stamp: e.stamp });
       revision = got.revision;
+      this.watched = revision;
       if (got.events.length > 0) this.react();
       yield* Effect.sleep(Duration.millis(20));
     }
@@ -239,7 +257,12 @@
       zone: (r.value as MemberRecord).zone,
     }));
     if (!members.some((m) => m.name === this.me && m.incarnation === this.incarnation)) return false;
-    const term: TermRecord = { token: (old?.token ?? 0) + 1, leader: this.me, members };
+    const term: TermRecord = {
+      token: (old?.token ?? 0) + 1,
+      key: leadership.stamp,
+      leader: this.me,
+      members,
+    };
     this.beginning = Math.max(this.beginning, term.token);
     const result = yield* this.state.commit(
       [
@@ -256,12 +279,6 @@
     return false;
   });
 
-  /** Waits until a renewal has shown the present term current. */
-  readonly confirmTerm: Effect.Effect<boolean> = Effect.gen(this, function* () {
-    for (let i = 0; i < 40 && !this.entitled(); i++) yield* Effect.sleep(Duration.millis(25));
-    return this.entitled();
-  });
-
   /** While renewals fail, asks the others; the window counts from before each question. */
   private readonly askLoop = Effect.gen(this, function* () {
     yield* Effect.sleep(Duration.times(this.spans.fence, 0.25));
--- a/src/service/mirror.ts
+++ b/src/service/mirror.ts
@@ -2,7 +2,7 @@
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
 import { type JobSpec, keys, type MachineType } from "../core/records.js";
-import { specOf, typesOf, type WireJob, type WireType } from "../io/codec.js";
+import { readJob, typesOf, type WireType } from "../io/codec.js";
 import type { Log } from "../io/log.js";
 import type { StateClient } from "../io/state-client.js";
 
@@ -11,8 +11,14 @@
   readonly stamp: number;
 }
 
+const MAX_OVER = 20_000;
+/** A little patience: one answer then holds several changes. */
+const GATHER = Duration.millis(150);
+
 export class Mirror {
   readonly jobs = new Map<string, MirroredJob>();
+  /** Jobs whose end was seen: a late answer that still has their record must not bring them back. */
+  private readonly over = new Set<string>();
   types: readonly MachineType[] = [];
   ready = false;
   onJob: (job: MirroredJob) => void = () => undefined;
@@ -29,15 +35,26 @@
     this.onTypes(this.types);
   }
 
-  put(key: string, value: unknown, stamp: number): void {
+  /** A job record that was read. */
+  put(key: string, value: unknown, stamp: number): MirroredJob | "over" | "malformed" {
     const id = key.slice(keys.jobs.length);
-    if (this.jobs.has(id)) return;
-    const job = { spec: specOf(value as WireJob), stamp };
+    const known = this.jobs.get(id);
+    if (known !== undefined) return known;
+    if (this.over.has(id)) return "over";
+    const spec = readJob(id, value);
+    if (spec === null) {
+      this.log.error({ job: id }, "a job record can't be read");
+      return "malformed";
+    }
+    const job = { spec, stamp };
     this.jobs.set(id, job);
     this.onJob(job);
+    return job;
   }
 
   remove(id: string): void {
+    this.over.add(id);
+    if (this.over.size > MAX_OVER) this.over.delete(this.over.values().next().value!);
     if (this.jobs.delete(id)) this.onOver(id);
   }
 
@@ -58,8 +75,7 @@
         if (e.value === undefined) this.remove(e.key.slice(keys.jobs.length));
         else this.put(e.key, e.value, e.stamp);
       revision = got.revision;
-      // a little patience: one answer then holds several changes
-      yield* Effect.sleep(Duration.millis(60));
+      yield* Effect.sleep(GATHER);
     }
   }).pipe(
     Effect.catchAll((e) => Effect.sync(() => this.log.debug({ why: e._tag }, "job watch ended"))),
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -15,6 +15,10 @@
 import { Peers, servePeers } from "./peers.js";
 import { Status } from "./status.js";
 
+/** What each side may use of the platform's limit of sockets; the rest is for the state service, the cloud, peers. */
+const FRONT_SOCKETS = 0.65;
+const WORKERS_SOCKETS = 0.25;
+
 /** Runs until the process is killed; fails only when a socket can't be bound. */
 export const runNode = (settings: Settings, log: Log): Effect.Effect<void, Error> =>
   Effect.gen(function* () {
@@ -22,6 +26,7 @@
     const teams = new Map(settings.teams.map((t) => [t.name, t]));
     const nodes = settings.peers.length + 1;
     const state = new StateClient(settings.state, settings.stateLimits, nodes);
+    state.setLeading(false);
     const cloud = new CloudClient(settings.cloud, settings.cloudLimits.rps);
     const peers = new Peers(settings.peers);
     const mirror = new Mirror(state, log);
@@ -43,7 +48,7 @@
       },
       membership,
       state,
-      new WorkerClient(),
+      new WorkerClient(Math.max(8, Math.floor(settings.maxConnections * WORKERS_SOCKETS))),
       peers,
       log,
     );
@@ -59,6 +64,7 @@
         },
         startGoals: settings.startGoals,
         txnOps: settings.stateLimits.txnOps,
+        valueKb: settings.stateLimits.valueKb,
         listEvery: Duration.seconds(Math.max(2, Duration.toSeconds(settings.cloudLimits.listLag) / 2)),
       },
       membership,
@@ -75,10 +81,15 @@
       member.termChanged();
     };
     const status = new Status(state, mirror, settings.stateLimits.txnOps * 4);
+    member.isOpen = (job) => mirror.jobs.has(job);
+    member.onDone = (job, tasks) => {
+      status.remember(job, { outcome: "done", tasks });
+      mirror.remove(job);
+    };
     const front = new Front(
       {
         bind: settings.front,
-        connections: Math.floor(settings.maxConnections * 0.7),
+        connections: Math.floor(settings.maxConnections * FRONT_SOCKETS),
         teams,
         valueKb: settings.stateLimits.valueKb,
       },
--- a/src/service/peers.ts
+++ b/src/service/peers.ts
@@ -25,7 +25,7 @@
 const MAX_BODY = 4 * 1024 * 1024;
 
 export class Peers {
-  private readonly agent = makeAgent(32);
+  private readonly agent = makeAgent(8);
   private readonly addrs: ReadonlyMap<string, string>;
 
   constructor(peers: readonly { member: string; addr: string }[]) {
@@ -60,7 +60,7 @@
   }
 
   deliver(member: string, value: Deliver): Effect.Effect<Delivered | null, CallFailed> {
-    return this.ask(member, peerPaths.deliver, deliverCodec, deliveredCodec, value, Duration.seconds(3));
+    return this.ask(member, peerPaths.deliver, deliverCodec, deliveredCodec, value, Duration.seconds(2));
   }
 }
 
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -8,10 +8,11 @@
 import { Part } from "../src/core/part.js";
 import { RangeSet, windows } from "../src/core/ranges.js";
 import type { TermRecord, WorkerReport } from "../src/core/records.js";
-import { entitled, ownerOf, spansOf, wordOfAll } from "../src/core/term.js";
+import { entitled, ownerOf, spansOf, tokenOf, wordOfAll } from "../src/core/term.js";
 import { instant } from "../src/core/time.js";
 import { parseReport, parseSubmission } from "../src/io/codec.js";
 import { deliveredCodec, syncCodec } from "../src/io/peer-codec.js";
+import { fromPieces, toPieces } from "../src/service/mailbox.js";
 import { TEAMS, TYPES } from "./model.js";
 
 test("a range set agrees with a plain set, whatever is added and taken out", () => {
@@ -64,6 +65,7 @@
 
 const term: TermRecord = {
   token: 4,
+  key: 10,
   leader: "a",
   members: [
     { name: "a", incarnation: 1, zone: "east" },
@@ -79,7 +81,7 @@
   spot: false,
   session: 1,
   seq: 1,
-  token: 4,
+  token: tokenOf(4),
   noticeS: null,
   tasks: [],
   ...more,
@@ -107,39 +109,84 @@
   assert.equal(wordOfAll([], new Map()), null);
 });
 
-test("a worker is sent to its part's member once, and taken in when it comes back", () => {
-  const part = new Part("a", 1000);
+const newPart = (member: string): Part => {
+  const part = new Part(member, 1000, Duration.seconds(4));
   part.setTerm(term);
+  return part;
+};
+
+test("a worker is sent to its part's member once, and taken in when it comes back", () => {
+  const part = newPart("a");
   const at = (ms: number, entitledNow: boolean) =>
     part.beat(report({ seq: ms }), entitledNow, 1, instant(ms));
   assert.deepEqual(at(1, false), { kind: "unsure" });
   assert.deepEqual(at(2, true), { kind: "elsewhere", member: "b" });
-  assert.deepEqual(at(3, true), { kind: "taken", token: 4 });
+  assert.deepEqual(at(3, true), { kind: "taken", token: tokenOf(4) });
   part.setTerm({ ...term, token: 5 });
   assert.deepEqual(at(4, true), { kind: "elsewhere", member: "b" });
   // another process of the same name is not that member
   assert.deepEqual(part.beat(report({}), true, 9, instant(5)), { kind: "unsure" });
 });
 
-test("a finish is told to the leader only once it is stored, and told anew after a new term", () => {
-  const part = new Part("b", 1000);
-  part.setTerm(term);
+test("a worker whose token the leader raised is answered with it: a lower one would be dropped", () => {
+  const part = newPart("b");
+  const beat = (token: number) => part.beat(report({ token }), true, 2, instant(1));
+  assert.deepEqual(beat(tokenOf(4, 3)), { kind: "taken", token: tokenOf(4, 3) });
+  assert.deepEqual(beat(tokenOf(3, 9)), { kind: "taken", token: tokenOf(4) });
+  assert.deepEqual(beat(tokenOf(5)), { kind: "taken", token: tokenOf(4) });
+});
+
+test("news are changes alone, and all of it again for another leader", () => {
+  const part = newPart("b");
+  const beat = (seq: number, ms: number) => part.beat(report({ seq }), true, 2, instant(ms));
+  beat(5, 1000);
+  const first = part.news(instant(1000));
+  assert.deepEqual([first.reports.length, first.seen.length], [1, 1]);
+  assert.deepEqual(part.news(instant(1000)), { reports: [], seen: [], stored: [], outcomes: [] });
+  beat(6, 2000);
+  // nothing new in it: only that it was heard and answered
+  const second = part.news(instant(2500));
+  assert.deepEqual(second.reports, []);
+  assert.deepEqual(second.seen, [{ machine: "n-1", answeredMs: 500, heardMs: 500 }]);
+  // a late copy is answered, which the proof by time must know, but it is no sign of life
+  beat(3, 9000);
+  assert.deepEqual(part.news(instant(9000)).seen, [{ machine: "n-1", answeredMs: 0, heardMs: 7000 }]);
+  part.ordersDone(7, "done");
+  const lost = part.news(instant(9000));
+  part.putBack(lost);
+  assert.deepEqual(part.news(instant(9000)).outcomes, [{ id: 7, outcome: "done" }]);
+  part.setTerm({ ...term, token: 5 });
+  assert.equal(part.news(instant(9000)).reports.length, 0, "the same leader remembers");
+  part.setTerm({ ...term, token: 6, key: 11 });
+  assert.deepEqual([part.news(instant(9000)).reports.length], [1]);
+});
+
+test("finishes are stored together after a while, told once stored, and told anew to another leader", () => {
+  const part = newPart("b");
   const task = { job: "req-1", index: 3, attempt: 1, state: "exited", why: "done" } as const;
   part.take(report({ tasks: [task] }), instant(9));
-  assert.deepEqual(part.news(instant(9)).stored, []);
-  const [writing] = part.toStore("b.2", 8);
+  const open = (): boolean => true;
+  const told = () => part.news(instant(9)).stored;
+  assert.deepEqual(told(), []);
+  assert.deepEqual(part.toStore("b.2", 8, instant(1000), open), [], "others of its job may follow");
+  assert.deepEqual(
+    part.toStore("b.2", 8, instant(5000), () => false),
+    [],
+    "its job isn't open",
+  );
+  const [writing] = part.toStore("b.2", 8, instant(5000), open);
   assert.deepEqual(
     writing!.puts.map((p) => [p.key, p.ranges]),
     [["ranges/req-1/b.2/0", [[3, 4]]]],
   );
-  assert.deepEqual(part.toStore("b.2", 8), [], "a write under way is not repeated");
-  part.storeAnswered(writing!, "failed");
-  assert.deepEqual(part.news(instant(9)).stored, []);
-  part.storeAnswered(part.toStore("b.2", 8)[0]!, "stored");
-  assert.deepEqual(part.news(instant(9)).stored, [{ job: "req-1", ranges: [[3, 4]] }]);
-  assert.deepEqual(part.news(instant(9)).stored, []);
-  part.setTerm({ ...term, token: 5 });
-  assert.deepEqual(part.news(instant(9)).stored, [{ job: "req-1", ranges: [[3, 4]] }]);
+  assert.deepEqual(part.toStore("b.2", 8, instant(5000), open), [], "a write under way is not repeated");
+  part.storeAnswered(writing!, "failed", instant(5000));
+  assert.deepEqual(told(), []);
+  part.storeAnswered(part.toStore("b.2", 8, instant(5000), open)[0]!, "stored", instant(5000));
+  assert.deepEqual(told(), [{ job: "req-1", ranges: [[3, 4]] }]);
+  assert.deepEqual(told(), []);
+  part.setTerm({ ...term, token: 5, key: 11 });
+  assert.deepEqual(told(), [{ job: "req-1", ranges: [[3, 4]] }]);
 });
 
 test("a budget keeps its rate, and lets the urgent through", () => {
@@ -191,14 +238,35 @@
   assert.equal(why({ tasks: 13, team: "blue" }), null);
 });
 
-test("reports that are no reports are refused", () => {
+test("reports that are no reports are refused, and never end a process", () => {
+  const good = {
+    hearth: "n",
+    endpoint: "10.0.0.1:9",
+    build: "b",
+    district: "d",
+    shift: 1,
+    tally: 1,
+    baton: 0,
+  };
+  const task = { chore: "req-1/2", try: 3, status: "running" };
+  assert.equal(parseReport({ ...good, chores: [task] })?.tasks[0]?.index, 2);
   for (const bad of [
     null,
     3,
     {},
-    { hearth: "n", endpoint: "x", build: "b", district: "d", shift: 1.5, tally: 1 },
+    { ...good, shift: 1.5 },
+    { ...good, tally: -1 },
+    { ...good, endpoint: "x" },
+    { ...good, endpoint: "10.0.0.1:99999999" },
+    { ...good, hearth: "n".repeat(1000) },
+    { ...good, chores: {} },
+    { ...good, chores: [null] },
+    { ...good, chores: [{ ...task, chore: 7 }] },
+    { ...good, chores: [{ ...task, chore: "req-1/x" }] },
+    { ...good, chores: [{ ...task, try: "3" }] },
+    { ...good, chores: [{ ...task, status: "dancing" }] },
   ])
-    assert.equal(parseReport(bad), null);
+    assert.equal(parseReport(bad), null, JSON.stringify(bad).slice(0, 100));
 });
 
 test("what controllers tell one another survives the wire", () => {
@@ -211,8 +279,10 @@
     member: "a",
     incarnation: 12,
     mark: -1,
+    version: 7,
     stateOk: true,
-    answered: [{ machine: "n-1", ageMs: 12.5 }],
+    seen: [{ machine: "n-1", answeredMs: 12.5, heardMs: -1 }],
+    outcomes: [{ id: 3_000_000_000_001, outcome: "unknown" as const }],
     reports: [{ report: r, ageMs: 7 }],
     stored: [{ job: "req-1", ranges: [[0, 7] as const] }],
   };
@@ -220,6 +290,9 @@
     JSON.parse(JSON.stringify(syncCodec.decode(syncCodec.encode(sync)))),
     JSON.parse(JSON.stringify(sync)),
   );
-  const delivered = { outcome: "unknown" as const, report: null };
-  assert.equal(deliveredCodec.decode(deliveredCodec.encode(delivered)).outcome, "unknown");
+  assert.equal(deliveredCodec.decode(deliveredCodec.encode({ accepted: true })).accepted, true);
+  const pieces = toPieces(sync)!;
+  assert.deepEqual(JSON.parse(JSON.stringify(fromPieces(pieces))), JSON.parse(JSON.stringify(sync)));
+  assert.equal(fromPieces([{ of: 2, data: pieces[0]!.data }]), null);
+  assert.equal(fromPieces([{ of: 1, data: "????" }]), null);
 });
--- a/test/model.ts
+++ b/test/model.ts
@@ -17,6 +17,7 @@
 } from "../src/core/records.js";
 import { Part } from "../src/core/part.js";
 import { RangeSet } from "../src/core/ranges.js";
+import { setMachine } from "../src/core/cluster.js";
 import { type Decision, type OrderOutcome, Scheduler } from "../src/core/scheduler.js";
 import { entitled, sameMembers, spansOf, wordOfAll } from "../src/core/term.js";
 import { type Instant, instant, minus } from "../src/core/time.js";
@@ -62,14 +63,18 @@
   token = 0;
   answeredSent: number;
   gone = false;
+  goneAt = 0;
   hungUntil = 0;
   cutUntil = 0;
+  /** Its reports arrive, but nothing reaches it. */
+  deafUntil = 0;
   node = 0;
   nextReport: number;
   readonly tasks = new Map<string, WorkerTask>();
   constructor(
     readonly id: string,
     readonly record: MachineRecord,
+    readonly rented: number,
     readonly up: number,
     readonly cpus: number,
   ) {
@@ -91,6 +96,10 @@
   leaseUntil: number;
   nextRenew: number;
   stateCutUntil: number;
+  /** Cut off from the state service and the other nodes, but not from its workers. */
+  aloneUntil: number;
+  pending: Map<number, { machine: string; orders: readonly Order[]; token: number; at: number }>;
+  batches: number;
   scheduler: Scheduler | null;
   leaderStamp: number;
   began: number;
@@ -131,7 +140,8 @@
   constructor(
     seed: number,
     private readonly without: Guard | null = null,
-    private readonly rough = 1,
+    /** How often troubles come; 0: none. */
+    public rough = 1,
   ) {
     const generator = xoroshiro128plus(seed);
     this.random = () => uniformFloat64(generator);
@@ -148,12 +158,15 @@
       alive: true,
       back: 0,
       incarnation: 0,
-      part: new Part(name, 400),
+      part: new Part(name, 400, Duration.millis(300)),
       confirmed: null,
       term: null,
       leaseUntil: 0,
       nextRenew: this.now,
       stateCutUntil: 0,
+      aloneUntil: 0,
+      pending: new Map(),
+      batches: 0,
       scheduler: null,
       leaderStamp: 0,
       began: this.now,
@@ -169,12 +182,7 @@
     const cpus = TYPES.find((t) => t.name === type)!.cpus;
     this.workers.set(
       id,
-      new Worker(
-        id,
-        { type, zone, spot, addr: id, open: false },
-        this.now + 500 + this.random() * 3000,
-        cpus,
-      ),
+      new Worker(id, { type, zone, spot, addr: id }, this.now, this.now + 500 + this.random() * 3000, cpus),
     );
     return id;
   }
@@ -210,7 +218,7 @@
     if (term === null || this.now % 500 !== 0) return;
     const asked = instant(this.now);
     for (const other of this.nodes)
-      if (other !== node)
+      if (other !== node && this.connected(node, other))
         this.later(() => {
           const ok = other.alive && (other.term?.token ?? 0) <= term.token;
           this.later(() => {
@@ -222,7 +230,11 @@
     return node.term!.members.some((m) => m.name === node.name && m.incarnation === node.incarnation);
   }
   private reachesState(node: Node): boolean {
-    return node.alive && this.now >= this.stateDownUntil && this.now >= node.stateCutUntil;
+    const cut = Math.max(this.stateDownUntil, node.stateCutUntil, node.aloneUntil);
+    return node.alive && this.now >= cut;
+  }
+  private connected(a: Node, b: Node): boolean {
+    return a === b || this.now >= Math.max(a.aloneUntil, b.aloneUntil);
   }
 
   step(): void {
@@ -240,19 +252,20 @@
     if (this.chance(0.02)) {
       const node = this.pick(this.nodes);
       if (node.alive) {
-        Object.assign(node, this.newNode(node.name, node.zone), {
-          alive: false,
-          back: this.now + this.random() * 4000,
-        });
+        // some are back at once, also in the middle of an election
+        const away = this.random() < 0.3 ? this.random() * 200 : this.random() * 4000;
+        Object.assign(node, this.newNode(node.name, node.zone), { alive: false, back: this.now + away });
       }
     }
     if (this.chance(0.02)) this.pick(this.nodes).stateCutUntil = this.now + this.random() * 10_000;
+    if (this.chance(0.01)) this.pick(this.nodes).aloneUntil = this.now + this.random() * 20_000;
     if (this.chance(0.004)) this.stateDownUntil = this.now + this.random() * 25_000;
     const workers = [...this.workers.values()].filter((w) => !w.gone);
     if (workers.length > 0) {
       if (this.chance(0.03)) this.pick(workers).hungUntil = this.now + this.random() * 15_000;
       if (this.chance(0.03)) this.pick(workers).cutUntil = this.now + this.random() * 20_000;
       if (this.chance(0.01)) this.kill(this.pick(workers));
+      if (this.chance(0.01)) this.pick(workers).deafUntil = this.now + this.random() * 40_000;
     }
     for (const node of this.nodes)
       if (!node.alive && this.now >= node.back) Object.assign(node, this.newNode(node.name, node.zone));
@@ -260,12 +273,13 @@
 
   private kill(w: Worker): void {
     w.gone = true;
+    w.goneAt = this.now;
     w.tasks.clear();
   }
 
   private users(): void {
     if (this.now < this.stateDownUntil) return;
-    if (this.jobs.size < 8 && this.chance(0.8 / this.rough)) {
+    if (this.jobs.size < 8 && this.rough > 0 && this.chance(0.8 / this.rough)) {
       const kind = this.pick(["array", "array", "service"] as const);
       const n = this.nextJob++;
       const spec: JobSpec = {
@@ -293,7 +307,7 @@
       this.allJobs.set(spec.id, spec);
       this.jobs.set(spec.id, { spec, stamp: ++this.revision });
     }
-    if (this.jobs.size > 0 && this.chance(0.15 / this.rough))
+    if (this.jobs.size > 0 && this.rough > 0 && this.chance(0.15 / this.rough))
       this.commit(this.pick([...this.jobs.keys()]), "cancelled");
   }
 
@@ -356,6 +370,17 @@
     const sent = this.now;
     const report = this.report(w);
     const node = this.nodes[w.node % this.nodes.length]!;
+    // a copy may come late, from seconds to well over a lease, and to whoever is there then
+    if (this.chance(0.2)) {
+      const late = this.now + this.random() * 2.5 * Duration.toMillis(SPANS.workerLease);
+      const to = this.pick(this.nodes);
+      this.messages.push({
+        at: late,
+        run: () => {
+          if (to.alive) to.part.beat(report, this.mayAnswer(to), to.incarnation, instant(this.now));
+        },
+      });
+    }
     this.later(() => {
       if (!node.alive) {
         w.node++;
@@ -368,8 +393,8 @@
       const { token } = answer;
       const session = report.session;
       this.later(() => {
-        if (this.now < w.cutUntil || w.session !== session || token < w.token || this.now - sent > 4000)
-          return;
+        if (this.now < Math.max(w.cutUntil, w.deafUntil) || w.session !== session) return;
+        if (token < w.token || this.now - sent > 4000) return;
         w.token = token;
         w.answeredSent = Math.max(w.answeredSent, sent);
       });
@@ -448,7 +473,10 @@
     const s = node.scheduler;
     if (s === null || node.term?.leader !== node.name || !this.entitled(node)) return;
     if (this.reachesState(node)) this.watchJobs(s);
+    for (const [id, batch] of node.pending)
+      if (this.now - batch.at > 6000) this.answered(node, s, id, "unknown");
     for (const d of s.step(instant(this.now))) this.carryOut(node, s, d);
+    if (this.now % 2000 === 0) this.list(s);
     if (this.now % 500 === 0) for (const d of s.stepFleet(instant(this.now))) this.carryOut(node, s, d);
   }
 
@@ -508,17 +536,19 @@
     );
     for (const [id, record] of this.records) {
       const m = s.recorded(id, record, instant(this.now));
-      if (this.without === "confirm" && m !== null) m.confirmed = true;
+      if (this.without === "confirm" && m !== null) setMachine(s.cluster, m, { confirmed: true });
     }
     s.setTypes(TYPES);
     for (const { spec, stamp } of this.jobs.values()) this.tell(s, spec, stamp);
     for (const [id, set] of this.stored) s.stored(id, set.ranges());
+    node.pending.clear();
     node.scheduler = s;
   }
 
   private newTerm(node: Node, members: TermRecord["members"]): void {
     this.terms++;
-    this.term = { token: (this.term?.token ?? 0) + 1, leader: node.name, members };
+    const token = (this.term?.token ?? 0) + 1;
+    this.term = { token, key: node.leaderStamp, leader: node.name, members };
     node.term = this.term;
     node.part.setTerm(this.term);
     node.words = new Map();
@@ -546,49 +576,61 @@
     }
     const news = node.part.news(instant(this.now));
     const { incarnation, mark } = node;
-    const answered = [...node.part.answeredAt].map(([machine, at]) => ({ machine, age: this.now - at }));
     const to = this.nodes.find((n) => n.name === term.leader)!;
     let arrived = false;
-    this.later(() => {
-      const s = to.scheduler;
-      if (s === null || to.term?.token !== term.token || !this.entitled(to)) return;
-      arrived = true;
-      const at = instant(this.now);
-      for (const { report, ageMs } of news.reports)
-        s.report(report, node.name, at, minus(at, Duration.millis(ageMs)));
-      for (const x of news.stored) s.stored(x.job, x.ranges);
-      s.vouched(
-        node.name,
-        incarnation,
-        term.token,
-        mark < 0 ? null : instant(mark),
-        answered.map((a) => ({ machine: a.machine, at: minus(at, Duration.millis(a.age)) })),
-      );
-      const stamp = this.now;
+    if (this.connected(node, to))
       this.later(() => {
-        if (node.markToken === term.token && node.incarnation === incarnation)
-          node.mark = Math.max(node.mark, stamp);
+        const s = to.scheduler;
+        if (s === null || to.term?.token !== term.token || !this.entitled(to)) return;
+        if (!term.members.some((m) => m.name === node.name && m.incarnation === incarnation)) return;
+        arrived = true;
+        const at = instant(this.now);
+        for (const { report, ageMs } of news.reports)
+          s.report(report, node.name, at, minus(at, Duration.millis(ageMs)));
+        for (const x of news.stored) s.stored(x.job, x.ranges);
+        const answered = [];
+        for (const x of news.seen) {
+          if (x.heardMs >= 0) s.heard(x.machine, minus(at, Duration.millis(x.heardMs)));
+          if (x.answeredMs >= 0)
+            answered.push({ machine: x.machine, at: minus(at, Duration.millis(x.answeredMs)) });
+        }
+        s.vouched(node.name, incarnation, term.token, mark < 0 ? null : instant(mark), answered);
+        for (const x of news.outcomes) this.answered(to, s, x.id, x.outcome);
+        const stamp = this.now;
+        this.later(() => {
+          if (node.markToken === term.token && node.incarnation === incarnation)
+            node.mark = Math.max(node.mark, stamp);
+        });
       });
-    });
     this.messages.push({
       at: this.now + 1500,
       run: () => {
-        if (!arrived && node.incarnation === incarnation) node.part.untold(news);
+        if (!arrived && node.incarnation === incarnation) node.part.putBack(news);
       },
     });
   }
 
+  private answered(leader: Node, s: Scheduler, id: number, outcome: OrderOutcome): void {
+    const batch = leader.pending.get(id);
+    if (batch === undefined) return;
+    leader.pending.delete(id);
+    const told = this.without === "doubt" && outcome === "unknown" ? "unsent" : outcome;
+    s.ordersAnswered(batch.machine, batch.orders, batch.token, told, instant(this.now));
+  }
+
   private store(node: Node): void {
     if (!this.reachesState(node) || node.leaseUntil <= this.now) return;
-    for (const w of node.part.toStore(`${node.name}.${node.incarnation}`, 8)) {
+    const open = (job: string): boolean => this.jobs.has(job);
+    const at = instant(this.now);
+    for (const w of node.part.toStore(`${node.name}.${node.incarnation}`, 8, at, open)) {
       if (this.commits.has(w.job)) {
-        node.part.storeAnswered(w, "over");
+        node.part.storeAnswered(w, "over", at);
         continue;
       }
       const set = this.stored.get(w.job) ?? new RangeSet();
       for (const put of w.puts) for (const [from, to] of put.ranges) set.add(from, to);
       this.stored.set(w.job, set);
-      node.part.storeAnswered(w, this.random() < 0.1 ? "failed" : "stored");
+      node.part.storeAnswered(w, this.random() < 0.1 ? "failed" : "stored", at);
     }
   }
 
@@ -596,7 +638,8 @@
     const ownKey = () => this.reachesState(node) && this.leader?.stamp === node.leaderStamp;
     if (d.kind === "orders") this.sendOrders(node, s, d);
     else if (d.kind === "commit") {
-      if (ownKey() && (this.stored.get(d.job)?.covers(d.tasks) ?? false)) this.commit(d.job, "done");
+      // a job cancelled in the meantime has its commit already
+      if (ownKey()) this.commit(d.job, "done");
       s.commitFailed(d.job);
     } else if (d.kind === "record") {
       if (ownKey()) {
@@ -608,10 +651,8 @@
       for (let i = 0; i < d.rent.count && this.machinesUp() < 12; i++)
         ids.push(this.addMachine(d.rent.type.name, d.rent.zone, d.rent.spot));
       const record = { type: d.rent.type.name, zone: d.rent.zone, spot: d.rent.spot, count: d.rent.count };
-      if (ownKey()) {
-        for (const id of ids) this.records.set(id, { ...record, addr: null, open: false });
-        s.rentalAnswered("", record, ids, instant(this.now));
-      }
+      // a leader that dies now leaves machines that nobody recorded: the list shows them to the next one
+      if (ownKey()) s.rentalAnswered("", record, ids, instant(this.now));
     } else if (d.kind === "release") {
       // the cloud may be slow, and its answer may be lost
       const ids = d.machines;
@@ -625,12 +666,18 @@
           if (ownKey()) for (const id of ids) this.records.delete(id);
         });
       });
-    } else if (d.kind === "newTerm" && ownKey()) {
-      this.newTerm(node, this.term!.members);
-      s.renewTerm(this.term!, instant(this.now));
     }
   }
 
+  /** The cloud's list is late: what is gone is still in it for a while, what is new is not yet. */
+  private list(s: Scheduler): void {
+    const rows = [...this.workers.values()]
+      .filter((w) => this.now > w.rented + 1000 && (!w.gone || this.now < w.goneAt + 3000))
+      .map((w) => ({ id: w.id, record: w.record, failed: false, ageMs: this.now - w.rented }));
+    const at = this.now;
+    this.later(() => s.listed(rows, instant(Math.max(at, this.now))));
+  }
+
   private machinesUp(): number {
     return [...this.workers.values()].filter((w) => !w.gone).length;
   }
@@ -639,50 +686,34 @@
     const term = leader.term!;
     const via = this.nodes.find((n) => n.name === d.via) ?? leader;
     const w = this.workers.get(d.machine);
-    let outcome: OrderOutcome = "unknown";
-    let report: WorkerReport | null = null;
-    let answered = false;
-    const back = (): void => {
-      if (answered) return;
-      answered = true;
-      if (leader.scheduler !== s) return;
-      if (report !== null) s.report(report, via.name, instant(this.now));
-      const told = this.without === "doubt" && outcome === "unknown" ? "unsent" : outcome;
-      s.ordersAnswered(d.machine, d.orders, term.token, told);
+    const id = term.token * 1e9 + ++leader.batches;
+    leader.pending.set(id, { machine: d.machine, orders: d.orders, token: d.token, at: this.now });
+    if (!this.connected(leader, via)) return this.answered(leader, s, id, "unsent");
+    const { incarnation } = via;
+    let outcome: OrderOutcome | null = null;
+    const settle = (result: OrderOutcome, report: WorkerReport | null): void => {
+      if (outcome !== null || !via.alive || via.incarnation !== incarnation) return;
+      outcome = result;
+      if (report !== null) via.part.take(report, instant(this.now));
+      via.part.ordersDone(id, result);
     };
     this.later(() => {
-      if (!via.alive) return;
-      if (via.term?.token !== term.token || !this.entitled(via)) {
-        outcome = "unsent";
-        this.later(back);
-        return;
-      }
+      if (!via.alive || via.incarnation !== incarnation) return;
+      if (via.term?.token !== term.token || !this.entitled(via)) return settle("barred", null);
       const reach = (): void => {
         if (w === undefined || w.gone || this.now < w.up) return;
-        // hung or cut: the order waits, and is executed when that ends
-        if (this.now < w.hungUntil || this.now < w.cutUntil) {
-          this.messages.push({ at: Math.max(w.hungUntil, w.cutUntil) + 1, run: reach });
+        // hung, cut or deaf: the order waits, and is executed when that ends
+        const until = Math.max(w.hungUntil, w.cutUntil, w.deafUntil);
+        if (this.now < until) {
+          this.messages.push({ at: until + 1, run: reach });
           return;
         }
-        outcome = this.execute(w, term.token, d.session, d.orders) ? "done" : "rejected";
-        report = this.report(w);
-        const r = report;
-        this.later(() => {
-          if (via.alive) via.part.take(r, instant(this.now));
-          back();
-        });
+        const done = this.execute(w, d.token, d.session, d.orders);
+        const report = this.report(w);
+        this.later(() => settle(done ? "done" : "rejected", report));
       };
       this.later(reach);
-    });
-    this.messages.push({
-      at: this.now + 3000,
-      run: () => {
-        if (outcome !== "unsent") {
-          outcome = "unknown";
-          report = null;
-        }
-        back();
-      },
+      this.messages.push({ at: this.now + 2000, run: () => settle("unknown", null) });
     });
   }
 
@@ -705,6 +736,39 @@
         this.broken.push({ rule: "quota", text: `${team.name}: ${usage.get(team.name)} at ${this.now}` });
   }
 
+  /** No more troubles, and no more jobs: what was accepted has to run. */
+  calmDown(): this {
+    this.rough = 0;
+    this.stateDownUntil = 0;
+    for (const node of this.nodes) {
+      node.stateCutUntil = 0;
+      node.aloneUntil = 0;
+      node.back = 0;
+    }
+    for (const w of this.workers.values()) {
+      w.hungUntil = 0;
+      w.cutUntil = 0;
+      w.deafUntil = 0;
+    }
+    return this;
+  }
+
+  /** Accepted jobs that are neither over nor, as services are, all running. */
+  unserved(): string[] {
+    const out: string[] = [];
+    for (const { spec } of this.jobs.values()) {
+      let running = 0;
+      for (let i = 0; i < spec.tasks; i++) if (this.holders(spec.id, i).length > 0) running++;
+      if (spec.kind !== "service" || running < spec.tasks) out.push(spec.id);
+    }
+    return out;
+  }
+
+  /** The pictures of all leaders that there are. */
+  pictures(): Scheduler["cluster"][] {
+    return this.nodes.flatMap((n) => (n.scheduler === null ? [] : [n.scheduler.cluster]));
+  }
+
   run(ms: number): this {
     while (this.now < ms && this.broken.length === 0) this.step();
     return this;
