--- /dev/null
+++ b/test/recount.ts
@@ -0,0 +1,69 @@
+/** Checks the core's indices against a recount of the whole picture. */
+import assert from "node:assert/strict";
+import { type Cluster, type Hold, occupies } from "../src/core/cluster.js";
+import { RANK } from "../src/core/records.js";
+
+const ids = (set: Iterable<{ id: string }>): string[] => [...set].map((m) => m.id).sort();
+
+export const recount = (c: Cluster): void => {
+  const machines = [...c.machines.values()];
+  const where = (test: (m: (typeof machines)[number]) => boolean): string[] => ids(machines.filter(test));
+  assert.deepEqual(
+    ids(c.unconfirmed),
+    where((m) => m.recorded && !m.confirmed),
+  );
+  assert.deepEqual(
+    ids(c.unrecorded),
+    where((m) => !m.recorded && m.heard !== null),
+  );
+  assert.deepEqual(
+    ids(c.hearing),
+    where((m) => m.heard !== null),
+  );
+  assert.deepEqual(
+    ids(c.mute),
+    where((m) => m.unanswered > 0),
+  );
+  const room = (m: (typeof machines)[number]): boolean =>
+    m.cpus - m.used.cpus > 1e-6 && m.memoryGb - m.used.memoryGb > 1e-6;
+  assert.deepEqual(ids(c.free), where(room));
+
+  const holds: Hold[] = machines.flatMap((m) => [...m.holds.values()]);
+  assert.deepEqual([...c.doubts].length, holds.filter((h) => h.doubt !== null).length);
+  const strays = holds.filter((h) => h.spec === null);
+  assert.equal(
+    [...c.strays.values()].reduce((n, set) => n + set.size, 0),
+    strays.length,
+  );
+  const live = holds.filter(occupies);
+  for (const m of machines) {
+    const mine = live.filter((h) => h.machine === m.id);
+    const cpus = mine.reduce((sum, h) => sum + (h.spec?.cpus ?? 0), 0);
+    assert.ok(Math.abs(cpus - m.used.cpus) < 1e-6, `${m.id}: ${m.used.cpus} for ${cpus}`);
+    assert.equal(c.strayOn.get(m) ?? 0, mine.filter((h) => h.spec === null).length);
+  }
+  const byRank = [0, 0, 0, 0];
+  const byClass = new Map<string, number>();
+  for (const { spec } of live) {
+    if (spec === null) continue;
+    byRank[RANK[spec.priority]]!++;
+    byClass.set(spec.className, (byClass.get(spec.className) ?? 0) + 1);
+  }
+  assert.deepEqual(c.ranks, byRank);
+  assert.deepEqual(new Map([...c.classes].sort()), new Map([...byClass].sort()));
+
+  for (const job of c.jobs.values()) {
+    const mine = holds.filter((h) => h.job === job.spec.id);
+    const listed = [...job.holds.values()].flat();
+    assert.deepEqual(new Set(listed), new Set(mine));
+    const running = mine.filter((h) => h.state === "running" || h.state === "saving").length;
+    assert.equal(job.running, running, job.spec.id);
+    assert.equal(c.waiting.has(job), job.pending.size > 0, job.spec.id);
+    const done = job.done.covers(job.spec.tasks);
+    if (c.covered.has(job)) assert.ok(done && !job.committing);
+    for (let n = 0; n < job.spec.tasks; n++) {
+      const held = mine.some((h) => h.index === n && (occupies(h) || h.why === "done"));
+      assert.equal(job.pending.has(n), !held && !job.done.has(n), `${job.spec.id}/${n}`);
+    }
+  }
+};
