--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -31,6 +31,8 @@
 const REFUSED_FOR = Duration.seconds(15);
 /** The cloud rents no more in one request. */
 const MAX_PER_RENTAL = 50;
+/** Requests in one round. */
+const MAX_RENTALS = 3;
 
 /** Remembers refusals, arrivals and requests under way. Pure: time comes in as an argument. */
 export class Fleet {
@@ -106,7 +108,6 @@
     };
     for (const { offer, count } of this.asked.values()) coming(offer, count);
 
-    const out: Rent[] = [];
     const take = (spec: JobSpec, tasks: number, useShort: boolean): number => {
       let left = tasks;
       for (const r of rooms) {
@@ -120,18 +121,25 @@
       }
       return left;
     };
+    // what several jobs need of the same kind is rented together: requests are few, machines many
+    const out = new Map<string, Rent>();
     const want = (spec: JobSpec, tasks: number, useShort: boolean): void => {
-      const left = take(spec, tasks, useShort);
-      if (left <= 0 || out.length >= 2) return;
-      const offer = this.cheapest(types, spec, left, now);
-      if (offer === null) return;
-      out.push(offer);
-      coming(offer, offer.count);
-      take(spec, left, false);
+      let left = take(spec, tasks, useShort);
+      while (left > 0) {
+        const offer = this.cheapest(types, spec, left, now, (key) => {
+          const count = out.get(key)?.count;
+          return count === undefined ? (out.size < MAX_RENTALS ? MAX_PER_RENTAL : 0) : MAX_PER_RENTAL - count;
+        });
+        if (offer === null) return;
+        const key = offerKey(offer.type.name, offer.zone, offer.spot);
+        out.set(key, { ...offer, count: offer.count + (out.get(key)?.count ?? 0) });
+        coming(offer, offer.count);
+        left = take(spec, left, false);
+      }
     };
     for (const { job, tasks } of queue) want(job.spec, tasks, job.spec.kind === "array");
     for (const { spec, tasks } of this.expected(now)) want(spec, tasks, false);
-    return out;
+    return [...out.values()];
   }
 
   /** Work that is likely to arrive within `warmFor`, from what arrived lately. */
@@ -151,13 +159,22 @@
       .filter((row) => row.tasks > 0);
   }
 
-  private cheapest(types: readonly MachineType[], spec: JobSpec, tasks: number, now: Instant): Rent | null {
+  /** `left`: how many machines of an offer may still be asked for in this round. */
+  private cheapest(
+    types: readonly MachineType[],
+    spec: JobSpec,
+    tasks: number,
+    now: Instant,
+    left: (key: string) => number,
+  ): Rent | null {
     let best: Rent | null = null;
     let bestCost = Infinity;
     for (const offer of this.offers(types, spec, now)) {
       const { type, spot } = offer;
       const each = slots(spec, type);
-      const count = Math.min(MAX_PER_RENTAL, Math.ceil(tasks / each));
+      const most = left(offerKey(type.name, offer.zone, spot));
+      const count = Math.min(most, Math.ceil(tasks / each));
+      if (count <= 0) continue;
       const price = spot ? type.spotPrice : type.price;
       const cost = (price * count) / Math.min(tasks, each * count);
       if (cost < bestCost - 1e-9) {
