Bound the others' word, believe orders only by their report; drain surplus machines

An outcome could overtake the report that shows the started task, and the task was started again: the outcome now names the report, and what comes later decides.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -3,6 +3,7 @@
  * here, so that a decision looks only at what changed or what waits; the tests check each against a recount.
  */
 import { type Instant } from "./time.js";
+import { FreeMachines } from "./free.js";
 import { RangeSet } from "./ranges.js";
 import { type JobSpec, type MachineRecord, RANK, type TaskState, type Why } from "./records.js";
 import type { Usage } from "./quota.js";
@@ -20,6 +21,8 @@
   since: Instant;
   /** Token under which a start got no answer: it may still be executed until the machine saw a higher one. */
   doubt: number | null;
+  /** The start was answered with this report, which may still be on its way here: what comes later decides. */
+  answered: { readonly session: number; readonly seq: number } | null;
   stopping: boolean;
   stored: boolean;
 }
@@ -99,7 +102,7 @@
   /** Jobs that are finished and have no commit yet. */
   readonly covered: Set<Job>;
   /** Machines with room. */
-  readonly free: Set<Machine>;
+  readonly free: FreeMachines;
   /** Machines about which something is to be tidied up: tasks to stop or to forget, notices, drains. */
   readonly attention: Set<Machine>;
   /** Recorded machines that may hold tasks this leader doesn't know of. */
@@ -134,7 +137,7 @@
   usage: new Map(),
   waiting: new Set(),
   covered: new Set(),
-  free: new Set(),
+  free: new FreeMachines(),
   attention: new Set(),
   unconfirmed: new Set(),
   unrecorded: new Set(),
@@ -190,6 +193,12 @@
 
 export const holdKey = (job: string, index: number, attempt: number): string => `${job}/${index}#${attempt}`;
 
+/** Whether message `a` of a worker is `b` or newer. */
+export const notOlder = (
+  a: { readonly session: number; readonly seq: number },
+  b: { readonly session: number; readonly seq: number },
+): boolean => a.session > b.session || (a.session === b.session && a.seq >= b.seq);
+
 /** Whether a hold takes room on its machine, and of its team's limit. */
 export const occupies = (hold: Hold): boolean => hold.state !== "exited" || hold.doubt !== null;
 
@@ -204,7 +213,7 @@
   const put = (set: Set<Machine>, member: boolean): void => void (member ? set.add(m) : set.delete(m));
   put(cluster.unconfirmed, m.recorded && !m.confirmed);
   put(cluster.unrecorded, !m.recorded && m.heard !== null);
-  put(cluster.free, m.cpus - m.used.cpus > 1e-6 && m.memoryGb - m.used.memoryGb > 1e-6);
+  cluster.free.set(m, m.memoryGb - m.used.memoryGb > 1e-6 ? m.cpus - m.used.cpus : 0);
 };
 
 export const addMachine = (cluster: Cluster, m: Machine): void => {
@@ -254,8 +263,8 @@
 export const dropMachine = (cluster: Cluster, m: Machine): void => {
   for (const hold of [...m.holds.values()]) removeHold(cluster, hold);
   cluster.machines.delete(m.id);
+  cluster.free.set(m, 0);
   for (const set of [
-    cluster.free,
     cluster.attention,
     cluster.unconfirmed,
     cluster.unrecorded,
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -159,6 +159,10 @@
       .filter((row) => row.tasks > 0);
   }
 
+  expectedCpus(now: Instant): number {
+    return this.expected(now).reduce((sum, { spec, tasks }) => sum + spec.cpus * tasks, 0);
+  }
+
   /** `left`: how many machines of an offer may still be asked for in this round. */
   private cheapest(
     types: readonly MachineType[],
--- /dev/null
+++ b/src/core/free.ts
@@ -0,0 +1,31 @@
+/** Machines with room, by how many whole processors are free: a search meets only those where a task may fit. */
+import type { Machine } from "./cluster.js";
+
+export class FreeMachines {
+  readonly buckets: Set<Machine>[] = [];
+  private readonly at = new Map<Machine, number>();
+
+  /** `cpus`: what is free; nothing, if it has no room. */
+  set(m: Machine, cpus: number): void {
+    const bucket = cpus <= 1e-6 ? -1 : Math.floor(cpus + 1e-6);
+    const before = this.at.get(m) ?? -1;
+    if (bucket === before) return;
+    this.buckets[before]?.delete(m);
+    if (bucket < 0) {
+      this.at.delete(m);
+      return;
+    }
+    while (this.buckets.length <= bucket) this.buckets.push(new Set());
+    this.buckets[bucket]!.add(m);
+    this.at.set(m, bucket);
+  }
+
+  has(m: Machine): boolean {
+    return this.at.has(m);
+  }
+
+  /** Those with at least so many processors free, give or take one. */
+  *atLeast(cpus: number): Iterable<Machine> {
+    for (let i = Math.floor(cpus + 1e-6); i < this.buckets.length; i++) yield* this.buckets[i]!;
+  }
+}
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -42,10 +42,12 @@
   readonly answeredMs: number;
   readonly heardMs: number;
 }
-/** What became of an order batch of the leader's. */
+/** What became of an order batch of the leader's, and which report the worker answered with; 0: none. */
 export interface Outcome {
   readonly id: number;
   readonly outcome: OrderOutcome;
+  readonly session: number;
+  readonly seq: number;
 }
 export interface News {
   readonly reports: readonly AgedReport[];
@@ -245,8 +247,9 @@
     if (f.since === null) this.unstored.delete(w.job);
   }
 
-  ordersDone(id: number, outcome: OrderOutcome): void {
-    this.outcomes.push({ id, outcome });
+  ordersDone(id: number, outcome: OrderOutcome, report: WorkerReport | null, now: Instant): void {
+    if (report !== null) this.take(report, now);
+    this.outcomes.push({ id, outcome, session: report?.session ?? 0, seq: report?.seq ?? 0 });
   }
 
   /** What the leader has not heard yet. What isn't delivered is put back with `putBack`. */
--- a/src/core/placer.ts
+++ b/src/core/placer.ts
@@ -109,7 +109,9 @@
     this.tried = { chances: cluster.chances, at: now };
     const candidates: Machine[] = [];
     const parts = new Map<string | null, number>();
-    for (const m of cluster.free)
+    const queue = this.queue(now);
+    const least = queue.reduce((min, j) => Math.min(min, j.spec.cpus), Infinity);
+    for (const m of cluster.free.atLeast(least))
       if (this.ready(m, now)) {
         candidates.push(m);
         parts.set(m.via, (parts.get(m.via) ?? 0) + m.cpus - m.used.cpus);
@@ -123,7 +125,7 @@
     const failed: JobSpec[] = [];
     let budget = MAX_STARTS_PER_STEP;
     let heldBack = -1;
-    for (const job of this.queue(now)) {
+    for (const job of queue) {
       if (budget <= 0) break;
       if (RANK[job.spec.priority] <= heldBack && !this.guaranteed.has(job)) continue;
       const { spec } = job;
@@ -228,6 +230,7 @@
       why: null,
       since: now,
       doubt: null,
+      answered: null,
       stopping: false,
       stored: false,
     };
--- a/src/core/returns.ts
+++ b/src/core/returns.ts
@@ -1,7 +1,7 @@
 /** Which machines go back to the cloud, and why; and which are drained so that they can. */
 import * as Duration from "effect/Duration";
-import { type Machine, occupies } from "./cluster.js";
-import { allowed, freeRoom, slots, takeRoom } from "./placement.js";
+import { type Hold, type Machine, occupies } from "./cluster.js";
+import { allowed, freeRoom, type Room, slots, takeRoom } from "./placement.js";
 import type { Proof } from "./proof.js";
 import type { Scope } from "./scope.js";
 import { movable } from "./tidy.js";
@@ -14,7 +14,11 @@
 const DEAF_AFTER = 3;
 /** Above this share of all machines, silence looks like a trouble of ours. */
 const MANY = 0.25;
-const DRAINED_AT_ONCE = 0.02;
+/** Share of all machines from which replicas may be moving, and machines that begin to drain in one step. */
+const MOVING_AT_ONCE = 0.02;
+const DRAINED_IN_A_STEP = 4;
+/** Room beyond what is expected that is kept free, as a share of what is in use. */
+const SPARE = 0.1;
 
 interface Silence {
   readonly heard: number;
@@ -97,11 +101,11 @@
   }
 
   /**
-   * Replicas run for long, and a few of them keep a large machine from being returned. While nothing waits, the
-   * machines that cost the most for the least are drained, if all their replicas fit beside other running work where
-   * their image is cached already: the gap is then a stop and a start.
+   * While nothing waits and there is more room than is likely to be needed soon, the machines that cost the most for
+   * the least get no new work: short tasks run out there, and replicas move if they all fit beside other running work
+   * where their image is cached already (the gap is then a stop and a start). When work waits, they are used again.
    */
-  consolidate(now: Instant): void {
+  consolidate(now: Instant, expectedCpus: number): void {
     const { cluster } = this.scope;
     const draining = [...cluster.machines.values()].filter((m) => m.draining);
     if ([...cluster.waiting].some((j) => j.spec.kind !== "service")) {
@@ -109,44 +113,62 @@
       if (draining.length > 0) cluster.chances++;
       return;
     }
-    if (draining.length >= Math.max(1, cluster.machines.size * DRAINED_AT_ONCE)) return;
     const ready = [...cluster.hearing].filter((m) => this.scope.usable(m, now));
     const price = (m: Machine): number => {
       const type = this.scope.typeByName.get(m.type);
       return type === undefined ? 0 : m.spot ? type.spotPrice : type.price;
     };
+    let free = 0;
+    let used = 0;
+    for (const m of ready) {
+      free += m.cpus - m.used.cpus;
+      used += m.used.cpus;
+    }
     const wasted = (m: Machine): number => price(m) * (1 - m.used.cpus / m.cpus);
     const candidates = ready
-      .filter(
-        (m) =>
-          m.holds.size > 0 &&
-          m.used.cpus <= m.cpus / 2 &&
-          [...m.holds.values()].every((h) => movable(h, now)),
-      )
-      .sort((a, b) => wasted(b) - wasted(a))
-      .slice(0, 5);
-    const others = ready.filter((x) => cluster.free.has(x) && x.holds.size > 0);
-    for (const m of candidates) {
-      const rooms = others.filter((x) => x !== m).map((x) => ({ x, room: freeRoom(x) }));
-      const fit = [...m.holds.values()].every((hold) => {
-        const spec = hold.spec!;
-        const to = rooms.find(
-          ({ x, room }) =>
-            x.images.has(spec.image) &&
-            allowed(spec, x) &&
-            slots(spec, room) > 0 &&
-            cluster.jobs.has(hold.job) &&
-            !spec.oneZone &&
-            !spec.spread,
-        );
-        if (to === undefined) return false;
-        takeRoom(spec, to.room, 1);
-        return true;
-      });
-      if (!fit) continue;
+      .filter((m) => m.holds.size > 0 && m.used.cpus <= m.cpus / 2)
+      .map((m) => ({ m, wasted: wasted(m) }))
+      .sort((a, b) => b.wasted - a.wasted);
+    const others = ready
+      .filter((x) => cluster.free.has(x) && x.holds.size > 0)
+      .map((x) => ({ x, room: freeRoom(x) }));
+    const keep = expectedCpus + used * SPARE;
+    let moving = draining.filter((m) => [...m.holds.values()].some(isReplica)).length;
+    const mayMove = Math.max(1, cluster.machines.size * MOVING_AT_ONCE);
+    let some = DRAINED_IN_A_STEP;
+    for (const { m } of candidates) {
+      if (some <= 0) return;
+      const replicas = [...m.holds.values()].filter(isReplica);
+      // what it holds goes elsewhere, or comes back elsewhere
+      if (free - m.cpus < keep) continue;
+      if (replicas.length > 0 && (moving >= mayMove || !this.canMove(m, replicas, others, now))) continue;
+      if (replicas.length > 0) moving++;
+      free -= m.cpus;
+      some--;
       m.draining = true;
       cluster.attention.add(m);
-      return;
     }
   }
+
+  private canMove(
+    m: Machine,
+    replicas: readonly Hold[],
+    others: readonly { x: Machine; room: Room }[],
+    now: Instant,
+  ): boolean {
+    return replicas.every((hold) => {
+      const spec = hold.spec!;
+      if (!movable(hold, now) || spec.oneZone || spec.spread) return false;
+      if (!this.scope.cluster.jobs.has(hold.job)) return false;
+      const to = others.find(
+        ({ x, room }) =>
+          x !== m && !x.draining && x.images.has(spec.image) && allowed(spec, x) && slots(spec, room) > 0,
+      );
+      if (to === undefined) return false;
+      takeRoom(spec, to.room, 1);
+      return true;
+    });
+  }
 }
+
+const isReplica = (hold: Hold): boolean => hold.spec?.kind === "service" && occupies(hold);
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -20,6 +20,7 @@
   type Job,
   type Machine,
   newMachine,
+  notOlder,
   heardOf,
   removeHold,
   setMachine,
@@ -276,6 +277,7 @@
           why: t.why,
           since: now,
           doubt: null,
+          answered: null,
           stopping: t.state === "saving",
           stored: job?.stored.has(t.index) ?? false,
         });
@@ -294,7 +296,8 @@
       if (present.has(key)) continue;
       // a start on its way, or one without an answer, may still be executed: it holds the task until the
       // worker has seen a higher token or begun a new session (late orders are refused from then on)
-      if (!newSession && hold.state === "ordered" && hold.doubt === null) continue;
+      const answered = hold.answered !== null && notOlder(r, hold.answered);
+      if (!newSession && hold.state === "ordered" && hold.doubt === null && !answered) continue;
       if (!newSession && hold.doubt !== null && !(r.token > hold.doubt)) continue;
       removeHold(this.cluster, hold);
     }
@@ -376,13 +379,14 @@
     this.proof.vouched(member, incarnation, token, asOf, answered);
   }
 
-  /** What became of orders that were sent under this token. */
+  /** What became of orders that were sent under this token, and which report they were answered with. */
   ordersAnswered(
     machine: string,
     orders: readonly Order[],
     token: number,
     outcome: OrderOutcome,
     now: Instant,
+    by: { session: number; seq: number } = { session: 0, seq: 0 },
   ): void {
     const m = this.cluster.machines.get(machine);
     if (m === undefined) return;
@@ -397,6 +401,8 @@
       if (order.op === "stop" && outcome !== "done") hold.stopping = false;
       if (order.op !== "start" || hold.state !== "ordered") continue;
       if (outcome === "unknown") changeHold(this.cluster, hold, { doubt: token });
+      // news go several ways: the report that shows the task may come after the word that it was ordered
+      else if (outcome === "done" && !notOlder(m, by)) hold.answered = by;
       else removeHold(this.cluster, hold);
     }
   }
@@ -537,7 +543,7 @@
         for (const id of some) this.cluster.machines.get(id)!.releasing = now;
         out.push({ kind: "release", machines: some, why });
       }
-    this.returns.consolidate(now);
+    this.returns.consolidate(now, this.fleet.expectedCpus(now));
     if (!this.listedOnce) return out;
     const queue: { job: Job; tasks: number }[] = [];
     for (const job of this.placer.queue(now)) {
--- a/src/core/term.ts
+++ b/src/core/term.ts
@@ -13,6 +13,8 @@
   readonly workerLease: Duration.Duration;
   readonly reportEvery: Duration.Duration;
   readonly cancel: Duration.Duration;
+  /** How long after its last renewal a node may go on by the others' word: cancels are not heard of meanwhile. */
+  readonly word: Duration.Duration;
   /** From the start of a term on: after this, a machine that nobody answered holds nothing old. */
   readonly machineGone: Duration.Duration;
 }
@@ -32,6 +34,7 @@
     workerLease,
     reportEvery: Duration.seconds(workers.reportS),
     cancel: Duration.seconds(workers.cancelS),
+    word: Duration.millis(room),
     machineGone: Duration.sum(stretched(Duration.sum(fence, workerLease)), Duration.millis(500)),
   };
 };
@@ -90,3 +93,16 @@
 /** What a member answers a worker with: its term's token, or the higher one that the worker has from the leader. */
 export const answerToken = (term: number, seen: number): number =>
   termOf(seen) === term ? seen : tokenOf(term);
+
+/**
+ * May a node answer workers by the word of all others? Not for long after its own last renewal: a job may have been
+ * cancelled since, and without a leader nobody stops its tasks but the end of their workers' leases.
+ */
+export const entitledByWord = (
+  spans: Spans,
+  others: readonly string[],
+  words: ReadonlyMap<string, Instant>,
+  proven: Instant | null,
+  now: Instant,
+): boolean =>
+  proven !== null && !passed(now, proven, spans.word) && entitled(spans, wordOfAll(others, words), now);
--- a/src/core/tidy.ts
+++ b/src/core/tidy.ts
@@ -2,7 +2,7 @@
 import * as Duration from "effect/Duration";
 import { type Hold, type Machine, occupies } from "./cluster.js";
 import type { Outbox } from "./outbox.js";
-import { choose, freeRoom } from "./placement.js";
+import { choose } from "./placement.js";
 import type { Scope } from "./scope.js";
 import { type Instant, passed } from "./time.js";
 
@@ -88,7 +88,7 @@
         continue;
       }
       if (!saves && spec.kind !== "service") continue;
-      room ??= [...cluster.free].filter((x) => this.scope.usable(x, now) && freeRoom(x).cpus > 0);
+      room ??= [...cluster.free.atLeast(spec.cpus)].filter((x) => this.scope.usable(x, now));
       if (saves || choose(cluster, job, room, now, () => 0) !== null) outbox.stop(hold);
     }
   }
--- a/src/io/peer-codec.ts
+++ b/src/io/peer-codec.ts
@@ -110,7 +110,7 @@
     seen: array(record("Seen", { machine: "string", answeredMs: "double", heardMs: "double" })),
     reports: array(record("Aged", { report, ageMs: "double" })),
     stored: array(record("Stored", { job: "string", ranges: array(array("int")) })),
-    outcomes: array(record("Outcome", { id: "long", outcome: "string" })),
+    outcomes: array(record("Outcome", { id: "long", outcome: "string", session: "long", seq: "long" })),
   }),
 );
 export const syncAnswerCodec = codec<SyncAnswer>(
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -159,7 +159,7 @@
         if (answeredMs >= 0) answered.push({ machine, at: minus(at, Duration.millis(answeredMs)) });
       }
       s.vouched(m.member, m.incarnation, m.token, m.mark < 0 ? null : instant(m.mark), answered);
-      for (const { id, outcome } of m.outcomes) this.answered(s, id, outcome);
+      for (const x of m.outcomes) this.answered(s, x.id, x.outcome, x);
       if (m.reports.length + m.stored.length + m.outcomes.length > 0) this.stepNow.poke();
       return { ...base, ok: true, progress: this.progressSince(s, m.version) };
     });
@@ -381,11 +381,16 @@
     });
   }
 
-  private answered(s: Scheduler, id: number, outcome: OrderOutcome): void {
+  private answered(
+    s: Scheduler,
+    id: number,
+    outcome: OrderOutcome,
+    by?: { session: number; seq: number },
+  ): void {
     const batch = this.pending.get(id);
     if (batch === undefined) return;
     this.pending.delete(id);
-    s.ordersAnswered(batch.machine, batch.orders, batch.token, outcome, now());
+    s.ordersAnswered(batch.machine, batch.orders, batch.token, outcome, now(), by);
     if (outcome !== "done" && outcome !== "barred")
       this.log.debug({ machine: batch.machine, outcome, count: batch.orders.length }, "orders not answered");
   }
--- a/src/service/member.ts
+++ b/src/service/member.ts
@@ -118,8 +118,7 @@
     );
     return Effect.map(send, ({ outcome, report }) => {
       this.delivering--;
-      if (report !== null) this.part.take(report, now());
-      this.part.ordersDone(d.id, outcome);
+      this.part.ordersDone(d.id, outcome, report, now());
       this.wake();
     });
   }
--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -1,7 +1,7 @@
 /** This node's lease, its member key, the term, and the race for the leader's key. */
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
-import { entitled, sameMembers, type Spans, wordOfAll } from "../core/term.js";
+import { entitled, entitledByWord, sameMembers, type Spans } from "../core/term.js";
 import { type Instant, passed } from "../core/time.js";
 import {
   keys,
@@ -27,6 +27,8 @@
   incarnation = 0;
   /** When the last renewal that showed `term` current was sent. */
   private confirmed: Instant | null = null;
+  /** When the last renewal that succeeded was sent, whichever term it showed. */
+  private proven: Instant | null = null;
   term: TermRecord | null = null;
   termStamp = 0;
   leadership: Leadership | null = null;
@@ -59,7 +61,8 @@
    */
   mayAnswer(): boolean {
     return (
-      this.entitled() || (this.inTerm() && entitled(this.spans, wordOfAll(this.others, this.words), now()))
+      this.entitled() ||
+      (this.inTerm() && entitledByWord(this.spans, this.others, this.words, this.proven, now()))
     );
   }
 
@@ -144,6 +147,7 @@
       this.lose("lease ended");
       return yield* this.join;
     }
+    this.proven = sentAt;
     this.setTerm(row);
     if (row !== null && row.stamp === this.termStamp) this.confirmed = sentAt;
     // the lease lives, but the key isn't this process's: nobody counts it as a member
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -151,10 +151,10 @@
   // a late copy is answered, which the proof by time must know, but it is no sign of life
   beat(3, 9000);
   assert.deepEqual(part.news(instant(9000)).seen, [{ machine: "n-1", answeredMs: 0, heardMs: 7000 }]);
-  part.ordersDone(7, "done");
+  part.ordersDone(7, "done", null, instant(9000));
   const lost = part.news(instant(9000));
   part.putBack(lost);
-  assert.deepEqual(part.news(instant(9000)).outcomes, [{ id: 7, outcome: "done" }]);
+  assert.deepEqual(part.news(instant(9000)).outcomes, [{ id: 7, outcome: "done", session: 0, seq: 0 }]);
   part.setTerm({ ...term, token: 5 });
   assert.equal(part.news(instant(9000)).reports.length, 0, "the same leader remembers");
   part.setTerm({ ...term, token: 6, key: 11 });
@@ -282,7 +282,7 @@
     version: 7,
     stateOk: true,
     seen: [{ machine: "n-1", answeredMs: 12.5, heardMs: -1 }],
-    outcomes: [{ id: 3_000_000_000_001, outcome: "unknown" as const }],
+    outcomes: [{ id: 3_000_000_000_001, outcome: "unknown" as const, session: 1, seq: 2 }],
     reports: [{ report: r, ageMs: 7 }],
     stored: [{ job: "req-1", ranges: [[0, 7] as const] }],
   };
--- a/test/model.ts
+++ b/test/model.ts
@@ -19,7 +19,7 @@
 import { RangeSet } from "../src/core/ranges.js";
 import { setMachine } from "../src/core/cluster.js";
 import { type Decision, type OrderOutcome, Scheduler } from "../src/core/scheduler.js";
-import { entitled, sameMembers, spansOf, wordOfAll } from "../src/core/term.js";
+import { entitled, entitledByWord, sameMembers, spansOf } from "../src/core/term.js";
 import { type Instant, instant, minus } from "../src/core/time.js";
 
 /** A guard that a run may take out, to show that the checker notices. */
@@ -91,6 +91,7 @@
   incarnation: number;
   part: Part;
   confirmed: Instant | null;
+  proven: Instant | null;
   term: TermRecord | null;
   /** The lease in the state service; the key goes when it ends. */
   leaseUntil: number;
@@ -160,6 +161,7 @@
       incarnation: 0,
       part: new Part(name, 400, Duration.millis(300)),
       confirmed: null,
+      proven: null,
       term: null,
       leaseUntil: 0,
       nextRenew: this.now,
@@ -211,7 +213,7 @@
     if (this.entitled(node)) return true;
     if (!node.alive || node.term === null || !this.inTerm(node)) return false;
     const others = this.nodes.filter((n) => n !== node).map((n) => n.name);
-    return entitled(SPANS, wordOfAll(others, node.words), instant(this.now));
+    return entitledByWord(SPANS, others, node.words, node.proven, instant(this.now));
   }
   private askOthers(node: Node): void {
     const { term } = node;
@@ -508,6 +510,7 @@
         node.words = new Map();
       }
       node.confirmed = sent;
+      node.proven = sent;
     });
   }
 
@@ -595,7 +598,7 @@
             answered.push({ machine: x.machine, at: minus(at, Duration.millis(x.answeredMs)) });
         }
         s.vouched(node.name, incarnation, term.token, mark < 0 ? null : instant(mark), answered);
-        for (const x of news.outcomes) this.answered(to, s, x.id, x.outcome);
+        for (const x of news.outcomes) this.answered(to, s, x.id, x.outcome, x);
         const stamp = this.now;
         this.later(() => {
           if (node.markToken === term.token && node.incarnation === incarnation)
@@ -610,12 +613,18 @@
     });
   }
 
-  private answered(leader: Node, s: Scheduler, id: number, outcome: OrderOutcome): void {
+  private answered(
+    leader: Node,
+    s: Scheduler,
+    id: number,
+    outcome: OrderOutcome,
+    by?: { session: number; seq: number },
+  ): void {
     const batch = leader.pending.get(id);
     if (batch === undefined) return;
     leader.pending.delete(id);
     const told = this.without === "doubt" && outcome === "unknown" ? "unsent" : outcome;
-    s.ordersAnswered(batch.machine, batch.orders, batch.token, told, instant(this.now));
+    s.ordersAnswered(batch.machine, batch.orders, batch.token, told, instant(this.now), by);
   }
 
   private store(node: Node): void {
@@ -694,8 +703,7 @@
     const settle = (result: OrderOutcome, report: WorkerReport | null): void => {
       if (outcome !== null || !via.alive || via.incarnation !== incarnation) return;
       outcome = result;
-      if (report !== null) via.part.take(report, instant(this.now));
-      via.part.ordersDone(id, result);
+      via.part.ordersDone(id, result, report, instant(this.now));
     };
     this.later(() => {
       if (!via.alive || via.incarnation !== incarnation) return;
--- a/test/recount.ts
+++ b/test/recount.ts
@@ -26,7 +26,11 @@
   );
   const room = (m: (typeof machines)[number]): boolean =>
     m.cpus - m.used.cpus > 1e-6 && m.memoryGb - m.used.memoryGb > 1e-6;
-  assert.deepEqual(ids(c.free), where(room));
+  assert.deepEqual(ids(c.free.atLeast(0)), where(room));
+  assert.deepEqual(
+    ids(c.free.atLeast(4)),
+    where((m) => room(m) && Math.floor(m.cpus - m.used.cpus + 1e-6) >= 4),
+  );
 
   const holds: Hold[] = machines.flatMap((m) => [...m.holds.values()]);
   assert.deepEqual([...c.doubts].length, holds.filter((h) => h.doubt !== null).length);
