--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -4,14 +4,16 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { hopeless } from "../src/core/admission.js";
+import { ProgressLog } from "../src/core/progress.js";
 import { Budget } from "../src/core/budget.js";
 import { Part } from "../src/core/part.js";
 import { RangeSet, windows } from "../src/core/ranges.js";
 import type { TermRecord, WorkerReport } from "../src/core/records.js";
-import { entitled, ownerOf, spansOf, tokenOf, wordOfAll } from "../src/core/term.js";
+import { entitled, entitledByWord, ownerOf, spansOf, tokenOf, wordOfAll } from "../src/core/term.js";
 import { instant } from "../src/core/time.js";
 import { parseReport, parseSubmission } from "../src/io/codec.js";
 import { deliveredCodec, syncCodec } from "../src/io/peer-codec.js";
+import { Blocks } from "../src/service/blocks.js";
 import { fromPieces, toPieces } from "../src/service/mailbox.js";
 import { TEAMS, TYPES } from "./model.js";
 
@@ -296,3 +298,66 @@
   assert.equal(fromPieces([{ of: 2, data: pieces[0]!.data }]), null);
   assert.equal(fromPieces([{ of: 1, data: "????" }]), null);
 });
+
+test("blocks of machines only get smaller, and the last machine takes its block along", () => {
+  const record = { type: "small", zone: "east", spot: false, addr: "x" };
+  const blocks = new Blocks();
+  blocks.add("machines/1-1", { a: record, b: record });
+  blocks.add("machines/1-2", { c: record });
+  // an open that got no answer is tried again: the machine is in two blocks
+  blocks.add("machines/1-3", { c: record });
+  assert.deepEqual(blocks.changed(9), []);
+  blocks.remove("a");
+  blocks.remove("c");
+  const changed = blocks.changed(2);
+  assert.deepEqual(
+    changed.map((r) => [r.key, r.machines]),
+    [
+      ["machines/1-2", null],
+      ["machines/1-3", null],
+    ],
+  );
+  blocks.written(changed);
+  const rest = blocks.changed(9);
+  assert.deepEqual(
+    rest.map((r) => [r.key, Object.keys(r.machines!)]),
+    [["machines/1-1", ["b"]]],
+  );
+  // it changed again while it was being written
+  blocks.remove("b");
+  blocks.written(rest);
+  assert.equal(blocks.changed(9)[0]?.machines, null);
+});
+
+test("progress is told as changes, and whole to whoever missed too much", () => {
+  const log = new ProgressLog();
+  assert.equal(log.since(-1), null);
+  for (const job of ["a", "b", "a"]) log.changed(job);
+  const seen = log.version;
+  assert.deepEqual(log.since(seen), new Set());
+  log.changed("c");
+  assert.deepEqual(log.since(seen), new Set(["c"]));
+  for (let i = 0; i < 10_000; i++) log.changed(`j${i % 7}`);
+  assert.equal(log.since(seen), null);
+  assert.equal(log.since(log.version - 3)?.size, 3);
+});
+
+test("the others' word holds for a while only: a job may have been cancelled since", () => {
+  const spans = spansOf({ leaseS: 28, reportS: 4, cancelS: 53 }, Duration.seconds(3));
+  const may = (proven: number | null, word: number, now: number) =>
+    entitledByWord(
+      spans,
+      ["b"],
+      new Map([["b", instant(word)]]),
+      proven === null ? null : instant(proven),
+      instant(now),
+    );
+  assert.equal(may(0, 9_000, 10_000), true);
+  assert.equal(may(null, 9_000, 10_000), false);
+  assert.equal(may(0, 0, 10_000), false);
+  // lease and window together stay under the time that a cancel has
+  const last = Duration.toMillis(spans.word);
+  assert.equal(may(0, last - 100, last - 1), true);
+  assert.equal(may(0, last - 100, last), false);
+  assert.ok(last + 28_000 < 53_000);
+});
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -311,3 +311,111 @@
   assert.equal(scene.live().length, 8);
   for (const [machine, tasks] of scene.tasks) assert.ok(tasks.size <= 2, `${tasks.size} on ${machine}`);
 });
+
+test("a machine that hears nothing gets no new work, troubles no other, and is returned", () => {
+  const scene = new Scene(EAST);
+  scene.s.jobSeen(spec({ tasks: 60, image: "x" }), 20, instant(0));
+  let why = "";
+  for (let i = 0; i < 60 && why === ""; i++) {
+    // its reports go on, but orders and answers don't reach it
+    scene.step(["n-2"]);
+    for (const { id } of EAST) if (id !== "n-2") scene.end(id, "done");
+    for (const d of scene.s.stepFleet(instant(scene.now)))
+      if (d.kind === "release" && d.machines.includes("n-2")) why = d.why;
+  }
+  assert.equal(why, "doesn't hear");
+  const starts = scene.sent.filter((x) => x.order.op === "start" && x.machine === "n-2");
+  assert.ok(starts.length <= 4, `${starts.length} starts sent to a machine that hears nothing`);
+  assert.ok(scene.ops("start") > 20, "the others work on");
+  // what it may hold starts elsewhere only once it is gone
+  const held = new Set(starts.map((x) => x.order.index));
+  const elsewhere = (): number =>
+    scene.sent.filter((x) => x.machine !== "n-2" && held.has(x.order.index) && x.order.op === "start").length;
+  assert.equal(elsewhere(), 0);
+  scene.tasks.delete("n-2");
+  scene.s.releaseAnswered(["n-2"], true, instant(scene.now));
+  for (let i = 0; i < 20; i++) {
+    scene.step();
+    for (const { id } of EAST) if (id !== "n-2") scene.end(id, "done");
+  }
+  assert.equal(elsewhere(), held.size);
+});
+
+test("a large job of low priority begins in bounded time under a steady stream of others", () => {
+  const scene = new Scene(EAST);
+  let n = 0;
+  const arrive = (): void =>
+    scene.s.jobSeen(
+      spec({ id: `req-1${String(n).padStart(5, "0")}`, tasks: 6 }),
+      100 + n++,
+      instant(scene.now),
+    );
+  arrive();
+  arrive();
+  scene.step();
+  scene.s.jobSeen(spec({ id: "req-000009", priority: "low", tasks: 500, cpus: 8 }), 99, instant(scene.now));
+  const began = scene.now;
+  for (let i = 0; i < 480 && !scene.sent.some((x) => x.order.job === "req-000009"); i++) {
+    // more than fits, all the time
+    if (i % 4 === 0) arrive();
+    if (i % 6 === 0) for (const { id } of EAST) scene.end(id, "done");
+    scene.step();
+  }
+  assert.ok(
+    scene.sent.some((x) => x.order.job === "req-000009"),
+    "it never began",
+  );
+  assert.ok(scene.now - began < 240_000);
+});
+
+test("a stranger in a late report is no machine, until it knows the present token", () => {
+  const scene = new Scene(EAST);
+  scene.s.jobSeen(spec({ id: "req-000001" }), 20, instant(0));
+  scene.step();
+  const started = scene.sent[0]!;
+  const copy: WorkerReport = {
+    machine: "n-77",
+    addr: "x",
+    type: "small",
+    zone: "east",
+    spot: false,
+    session: 1,
+    seq: 900,
+    token: 0,
+    noticeS: null,
+    tasks: [{ job: "req-000001", index: 0, attempt: 1, state: "running", why: null }],
+  };
+  scene.s.report(copy, "a", instant(scene.now));
+  assert.equal(scene.s.cluster.machines.has("n-77"), false);
+  for (let i = 0; i < 4; i++) scene.step(["n-9"]);
+  // nor does a machine speak for the present that is recorded, but has not reported under this term
+  const before = { type: "small", zone: "east", spot: false, addr: "n-9" };
+  scene.s.recorded("n-9", before, instant(scene.now));
+  scene.s.report({ ...copy, machine: "n-9" }, "a", instant(scene.now));
+  for (let i = 0; i < 4; i++) scene.step(["n-9"]);
+  // the lower attempt in the copies doesn't get the real task stopped
+  assert.equal(scene.ops("stop"), 0);
+  assert.deepEqual(
+    scene.live().map((t) => t.attempt),
+    [started.order.attempt],
+  );
+  scene.s.report({ ...copy, seq: 901, token: tokenOf(1), tasks: [] }, "a", instant(scene.now));
+  assert.equal(scene.s.cluster.machines.has("n-77"), true);
+});
+
+test("a start whose outcome comes before its report is waited for, not repeated", () => {
+  const scene = new Scene([{ id: "n-1", zone: "east" }]);
+  scene.s.jobSeen(spec({}), 20, instant(0));
+  const orders = scene.s.step(instant(scene.now)).filter((d) => d.kind === "orders");
+  assert.equal(orders.length, 1);
+  const d = orders[0]!;
+  scene.s.ordersAnswered("n-1", d.orders, d.token, "done", instant(scene.now), { session: 1, seq: 50 });
+  const again = (): number =>
+    scene.s.step(instant((scene.now += 600))).filter((x) => x.kind === "orders" && x.orders.length > 0)
+      .length;
+  assert.equal(again(), 0);
+  scene.report("n-1", "east", { seq: 49 });
+  assert.equal(again(), 0, "older than the answer");
+  scene.report("n-1", "east", { seq: 51 });
+  assert.equal(again(), 1, "the worker doesn't have it");
+});
