Slow machines are noticed and set aside; hung machines are noticed also while controllers are apart

A node that can't reach the state service closes connections with its 503, so that users get to another one.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -79,6 +79,8 @@
   /** Tasks that failed here since one last completed, by job. */
   readonly blame: Map<string, number>;
   setAside: Instant | null;
+  /** Set aside for its pace, not for failures: what completes on it doesn't speak for it. */
+  slow: boolean;
   /** Its replicas are being moved to other machines, so that it can be returned. */
   draining: boolean;
   inFlight: boolean;
@@ -180,6 +182,7 @@
   idleSince: null,
   blame: new Map(),
   setAside: null,
+  slow: false,
   draining: false,
   inFlight: false,
   probedAt: null,
--- /dev/null
+++ b/src/core/pace.ts
@@ -0,0 +1,88 @@
+/**
+ * Machines that take much longer than others for tasks of the same job: they get no new work and are returned once
+ * empty, and what is overdue there starts anew elsewhere, once.
+ */
+import * as Duration from "effect/Duration";
+import { type Hold, type Job, type Machine } from "./cluster.js";
+import type { Outbox } from "./outbox.js";
+import type { Scope } from "./scope.js";
+import { type Instant, passed } from "./time.js";
+
+/** Tasks of one job differ by half, machines by a tenth; early finishers are the short ones. */
+const SLOW = 2.2;
+const ENOUGH = 3;
+const LOOK_EVERY = Duration.seconds(2);
+/** With more of them than this share the measure must be wrong. */
+const MOST = 0.25;
+
+export class Pace {
+  private readonly ran = new Map<string, { tasks: number; ms: number }>();
+  /** Tasks that were already started anew, by job. */
+  private readonly renewed = new Map<string, Set<number>>();
+  private looked: Instant | null = null;
+
+  constructor(private readonly scope: Scope) {}
+
+  jobOver(id: string): void {
+    this.ran.delete(id);
+    this.renewed.delete(id);
+  }
+
+  /** A task that ran since `since` is done. */
+  done(m: Machine, hold: Hold, since: Instant, now: Instant): void {
+    if (hold.spec?.kind !== "array" || now <= since) return;
+    const job = this.scope.cluster.jobs.get(hold.job);
+    if (job !== undefined && this.isOverdue(job, now - since)) this.setAside(m, now);
+    const row = this.ran.get(hold.job);
+    if (row === undefined) this.ran.set(hold.job, { tasks: 1, ms: now - since });
+    else {
+      row.tasks++;
+      row.ms += now - since;
+    }
+  }
+
+  private isOverdue(job: Job, ms: number): boolean {
+    const row = this.ran.get(job.spec.id);
+    if (row === undefined || row.tasks < Math.max(ENOUGH, job.running)) return false;
+    return ms > (row.ms / row.tasks) * SLOW;
+  }
+
+  private setAside(m: Machine, now: Instant): boolean {
+    if (m.slow) return true;
+    const { cluster } = this.scope;
+    let slow = 0;
+    for (const x of cluster.hearing) if (x.slow) slow++;
+    if (slow + 1 > Math.max(2, cluster.hearing.size * MOST)) return false;
+    m.slow = true;
+    m.setAside ??= now;
+    return true;
+  }
+
+  /** Now and then: what runs far too long. */
+  step(now: Instant, outbox: Outbox): void {
+    if (this.looked !== null && !passed(now, this.looked, LOOK_EVERY)) return;
+    this.looked = now;
+    const { cluster } = this.scope;
+    for (const [id, row] of this.ran) {
+      const job = cluster.jobs.get(id);
+      if (job === undefined || row.tasks < Math.max(ENOUGH, job.running)) continue;
+      for (const holds of job.holds.values())
+        for (const hold of holds) {
+          if (hold.state !== "running" || hold.stopping || hold.doubt !== null) continue;
+          if (!this.isOverdue(job, now - hold.since)) continue;
+          const m = cluster.machines.get(hold.machine)!;
+          // a silent machine is another matter; so is a task that was slow before
+          if (m.inFlight || m.heard === null || passed(now, m.heard, this.scope.fresh)) continue;
+          if (!this.setAside(m, now) || this.wasRenewed(id, hold.index)) continue;
+          outbox.stop(hold);
+        }
+    }
+  }
+
+  private wasRenewed(id: string, index: number): boolean {
+    const tasks = this.renewed.get(id) ?? new Set<number>();
+    if (tasks.has(index)) return true;
+    this.renewed.set(id, tasks.add(index));
+    return false;
+  }
+}
--- a/src/core/proof.ts
+++ b/src/core/proof.ts
@@ -11,6 +11,7 @@
 interface Vouch {
   readonly incarnation: number;
   asOf: Instant | null;
+  newsAt: Instant | null;
   readonly answered: Map<string, Instant>;
 }
 
@@ -28,7 +29,7 @@
       this.scope.term.members.map(({ name, incarnation }) => {
         const old = before.get(name);
         const same = old !== undefined && old.incarnation === incarnation;
-        return [name, same ? old : { incarnation, asOf: null, answered: new Map() }];
+        return [name, same ? old : { incarnation, asOf: null, newsAt: null, answered: new Map() }];
       }),
     );
   }
@@ -40,9 +41,11 @@
     token: number,
     asOf: Instant | null,
     answered: readonly { machine: string; at: Instant }[],
+    now: Instant,
   ): void {
     const vouch = this.vouches.get(member);
     if (token !== this.scope.term.token || vouch?.incarnation !== incarnation) return;
+    vouch.newsAt = now;
     if (asOf !== null && (vouch.asOf === null || asOf > vouch.asOf)) vouch.asOf = asOf;
     for (const { machine, at } of answered) {
       const before = vouch.answered.get(machine);
@@ -50,9 +53,9 @@
     }
   }
 
-  /** When a member last sent word; null: not in this term. */
-  lastWord(member: string): Instant | null {
-    return this.vouches.get(member)?.asOf ?? null;
+  /** When a member's news came last, by whatever way; null: not in this term. */
+  lastNews(member: string): Instant | null {
+    return this.vouches.get(member)?.newsAt ?? null;
   }
 
   forget(machine: string): void {
--- a/src/core/returns.ts
+++ b/src/core/returns.ts
@@ -71,13 +71,13 @@
       // until it is gone, nothing that it may hold can start
       const patience = !few(silence.unheard, cluster.machines.size)
         ? Duration.times(options.spans.reportEvery, 5)
-        : Duration.times(options.spans.reportEvery, m.unanswered >= 2 ? 1.3 : 2.6);
+        : Duration.times(options.spans.reportEvery, m.unanswered >= 3 ? 1 : 2);
       return passed(now, termBegan, patience) ? "silent since take-over" : null;
     }
     if (passed(now, m.heard, fresh)) {
       const silentFor = Math.min(now - m.heard, now - termBegan);
       // a part whose member is silent too, or left, looks like a cut, not like a dead machine
-      const word = m.via === null ? null : this.proof.lastWord(m.via);
+      const word = m.via === null ? null : this.proof.lastNews(m.via);
       const cut = word === null || passed(now, word, Duration.seconds(4));
       const soon = Duration.toMillis(fresh) + 1000;
       // behind a cut its tasks go on until its lease ends; nothing is won by ending them much sooner
@@ -96,7 +96,7 @@
       if (passed(now, since, Duration.times(options.spans.reportEvery, 2))) return "doesn't hear";
     }
     if (m.draining && m.holds.size === 0 && !m.inFlight) return "drained";
-    if (m.setAside !== null && ![...m.holds.values()].some(occupies)) return "fails tasks";
+    if (m.setAside !== null && ![...m.holds.values()].some(occupies)) return m.slow ? "slow" : "fails tasks";
     return null;
   }
 
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -28,6 +28,7 @@
 } from "./cluster.js";
 import { Fleet, offerKey, type Rent } from "./fleet.js";
 import { Outbox } from "./outbox.js";
+import { Pace } from "./pace.js";
 import { Placer, suspect } from "./placer.js";
 import { Proof } from "./proof.js";
 import { roomInLimit } from "./quota.js";
@@ -70,7 +71,7 @@
 
 const ASK_AGAIN = Duration.seconds(1);
 /** Questions put in one step: after a take-over all machines are asked, a few at a time. */
-const MAX_QUESTIONS = 40;
+const MAX_QUESTIONS = 12;
 const MAX_RELEASED = 5000;
 const MAX_RELEASE = 100;
 
@@ -79,6 +80,7 @@
   private readonly scope: Scope;
   private readonly proof: Proof;
   private readonly placer: Placer;
+  private readonly pace: Pace;
   private readonly tidy: Tidy;
   private readonly returns: Returns;
   private released = new Set<string>();
@@ -94,6 +96,7 @@
     this.fleet = new Fleet(options.fleet);
     this.proof = new Proof(this.scope);
     this.placer = new Placer(this.scope);
+    this.pace = new Pace(this.scope);
     this.tidy = new Tidy(this.scope);
     this.returns = new Returns(this.scope, this.proof);
   }
@@ -136,6 +139,7 @@
     const job = this.cluster.jobs.get(id);
     if (job !== undefined) dropJob(this.cluster, job);
     this.placer.jobOver(id);
+    this.pace.jobOver(id);
   }
 
   private done(job: Job, index: number): void {
@@ -288,6 +292,7 @@
       const doubt = hold.doubt !== null && r.token > hold.doubt ? null : hold.doubt;
       if (before === t.state && doubt === hold.doubt) continue;
       const since = before === t.state ? hold.since : now;
+      if (before === "running" && t.why === "done") this.pace.done(m, hold, hold.since, now);
       changeHold(this.cluster, hold, { state: t.state, why: t.why, since, doubt });
       if (t.state === "running" || (t.state === "exited" && before !== "exited"))
         this.seenState(m, hold, now);
@@ -339,8 +344,10 @@
     if (hold.why === "done") {
       this.seenImage(m, hold.spec);
       m.blame.clear();
-      if (m.setAside !== null) this.cluster.chances++;
-      m.setAside = null;
+      if (m.setAside !== null && !m.slow) {
+        m.setAside = null;
+        this.cluster.chances++;
+      }
     }
     if (hold.why === "error" && job !== undefined) {
       job.errorsOn.set(m.id, now);
@@ -350,7 +357,7 @@
         job.retryAt = plus(now, Duration.seconds(Math.min(60, 2 ** job.errorsOn.size)));
         for (const id of job.errorsOn.keys()) {
           const other = this.cluster.machines.get(id);
-          if (other !== undefined && !this.faulty(other)) other.setAside = null;
+          if (other !== undefined && !other.slow && !this.faulty(other)) other.setAside = null;
         }
       }
       if (m.setAside === null && this.faulty(m)) m.setAside = now;
@@ -375,8 +382,9 @@
     token: number,
     asOf: Instant | null,
     answered: readonly { machine: string; at: Instant }[],
+    now: Instant,
   ): void {
-    this.proof.vouched(member, incarnation, token, asOf, answered);
+    this.proof.vouched(member, incarnation, token, asOf, answered, now);
   }
 
   /** What became of orders that were sent under this token, and which report they were answered with. */
@@ -415,6 +423,7 @@
     const notes: string[] = [];
     this.proof.step(now);
     this.tidy.step(now, outbox);
+    this.pace.step(now, outbox);
     this.placer.step(now, outbox, notes);
     for (const text of notes) out.push({ kind: "note", text });
     this.commit(out);
--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -73,7 +73,11 @@
       "content-type": "application/json",
       "content-length": Buffer.byteLength(a.body),
     };
-    if (a.status === 503) headers["retry-after"] = String(RETRY_AFTER_S);
+    if (a.status === 503) {
+      headers["retry-after"] = String(RETRY_AFTER_S);
+      // a new connection may lead to a node that reaches the state service
+      if (!this.member.stateOk()) headers["connection"] = "close";
+    }
     response.writeHead(a.status, headers).end(a.body);
   }
 
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -53,9 +53,10 @@
 const SWEEP_EVERY = Duration.seconds(1);
 const LIST_RANGES_EVERY = Duration.seconds(30);
 const MAX_ENDED = 4000;
+/** Machines in one record, and records that one sweep shortens: a transaction holds 64 KiB. */
 const BYTES_A_MACHINE = 200;
-/** Blocks of machines that one sweep shortens: a transaction holds 64 KiB. */
-const MAX_REWRITES = 3;
+const MAX_IN_BLOCK = 40;
+const MAX_REWRITES = 6;
 const ORDERS_IN_TERM = 1_000_000_000;
 
 interface Pending {
@@ -158,7 +159,7 @@
         if (heardMs >= 0) s.heard(machine, minus(at, Duration.millis(heardMs)));
         if (answeredMs >= 0) answered.push({ machine, at: minus(at, Duration.millis(answeredMs)) });
       }
-      s.vouched(m.member, m.incarnation, m.token, m.mark < 0 ? null : instant(m.mark), answered);
+      s.vouched(m.member, m.incarnation, m.token, m.mark < 0 ? null : instant(m.mark), answered, at);
       for (const x of m.outcomes) this.answered(s, x.id, x.outcome, x);
       if (m.reports.length + m.stored.length + m.outcomes.length > 0) this.stepNow.poke();
       return { ...base, ok: true, progress: this.progressSince(s, m.version) };
@@ -441,7 +442,8 @@
   private recordLoop(leadership: Leadership) {
     return Effect.gen(this, function* () {
       yield* Effect.sleep(Duration.millis(100));
-      const most = Math.max(1, Math.floor((this.options.valueKb * 1024) / BYTES_A_MACHINE));
+      const fit = Math.floor((this.options.valueKb * 1024) / BYTES_A_MACHINE);
+      const most = Math.max(1, Math.min(MAX_IN_BLOCK, fit));
       const batch = this.records.splice(0, most);
       if (batch.length === 0) return;
       const key = keys.machinesOf(`${this.membership.term?.token}-${++this.batches}`);
@@ -479,7 +481,7 @@
         for (const row of rows) if (!s.cluster.jobs.has(row.key.split("/")[1]!)) this.useless.add(row.key);
       });
     }
-    const deletes = [...this.useless].slice(0, this.options.txnOps - MAX_REWRITES);
+    const deletes = [...this.useless].slice(0, Math.max(1, this.options.txnOps - MAX_REWRITES));
     const rewrites = this.blocks.changed(MAX_REWRITES);
     if (deletes.length + rewrites.length === 0) return;
     const result = yield* this.state.commit(
@@ -570,6 +572,13 @@
         { count: machines.length, machines: machines.slice(0, 5), why, term: this.membership.term?.token },
         "releases",
       );
+      // nothing is on an empty machine, and nothing more will start there: a next leader needn't wait for it
+      this.guarded?.with((s) => {
+        for (const id of machines) {
+          const m = s.cluster.machines.get(id);
+          if (m !== undefined && m.confirmed && m.holds.size === 0) this.blocks.remove(id);
+        }
+      });
       const gone = yield* this.cloud.release(machines).pipe(
         Effect.as(true),
         Effect.orElseSucceed(() => false),
--- a/src/service/member.ts
+++ b/src/service/member.ts
@@ -73,7 +73,7 @@
   /** Whether this node reaches the state service. */
   stateOk(): boolean {
     const { lastBad, lastGood } = this.state;
-    return lastBad === null || lastGood > lastBad || now() - lastGood < 2000;
+    return lastBad === null || lastGood > lastBad || now() - lastGood < 1200;
   }
 
   beat(r: WorkerReport): BeatAnswer {
--- a/test/model.ts
+++ b/test/model.ts
@@ -597,7 +597,7 @@
           if (x.answeredMs >= 0)
             answered.push({ machine: x.machine, at: minus(at, Duration.millis(x.answeredMs)) });
         }
-        s.vouched(node.name, incarnation, term.token, mark < 0 ? null : instant(mark), answered);
+        s.vouched(node.name, incarnation, term.token, mark < 0 ? null : instant(mark), answered, at);
         for (const x of news.outcomes) this.answered(to, s, x.id, x.outcome, x);
         const stamp = this.now;
         this.later(() => {
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -419,3 +419,23 @@
   scene.report("n-1", "east", { seq: 51 });
   assert.equal(again(), 1, "the worker doesn't have it");
 });
+
+test("a machine much slower than others at the same job is set aside, and its tasks start anew once", () => {
+  const scene = new Scene([...EAST, { id: "n-4", zone: "east" }]);
+  scene.s.jobSeen(spec({ tasks: 40 }), 20, instant(0));
+  for (let i = 0; i < 60; i++) {
+    // tasks take 5 s, but on n-2 they don't end
+    if (i % 10 === 9) for (const id of ["n-1", "n-3", "n-4"]) scene.end(id, "done");
+    scene.step();
+  }
+  const aside = [...scene.s.cluster.machines.values()].filter((m) => m.slow).map((m) => m.id);
+  assert.deepEqual(aside, ["n-2"]);
+  const on = (machine: string, op: Order["op"]): Order[] =>
+    scene.sent.filter((x) => x.machine === machine && x.order.op === op).map((x) => x.order);
+  assert.equal(on("n-2", "start").length, 2, "no new work");
+  assert.equal(on("n-2", "stop").length, 2);
+  for (const { index } of on("n-2", "stop"))
+    assert.equal(scene.sent.filter((x) => x.order.op === "start" && x.order.index === index).length, 2);
+  const released = scene.s.stepFleet(instant(scene.now)).filter((d) => d.kind === "release");
+  assert.ok(released.some((d) => d.machines.includes("n-2") && d.why === "slow"));
+});
