--- a/src/io/state-client.ts
+++ b/src/io/state-client.ts
@@ -4,6 +4,7 @@
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
 import { Budget } from "../core/budget.js";
+import type { Instant } from "../core/time.js";
 import { type Call, call, CallFailed, json, makeAgent, type Reply } from "./call.js";
 import { now } from "./clock.js";
 import { type Change, type Condition, type Row, state as wire, type WatchEvent } from "./codec.js";
@@ -35,9 +36,8 @@
   private readonly requests: Budget;
   private readonly changes: Budget;
   private waiting = 0;
-  /** When a request last got an answer other than 503, and when one last failed. */
-  lastGood: number = now();
-  lastBad: number | null = null;
+  /** Since when requests fail; null: the last one got an answer other than 503. */
+  failingSince: Instant | null = null;
 
   constructor(
     private readonly addr: string,
@@ -104,15 +104,15 @@
     ).pipe(
       Effect.mapError((error) => {
         if (!(error instanceof CallFailed)) return error;
-        this.lastBad = now();
+        this.failingSince ??= now();
         return error.sent ? new Unanswered({ why: error.why }) : new Unavailable({ why: error.why });
       }),
       Effect.flatMap((reply): Effect.Effect<Reply, StateError> => {
         if (reply.status === 503) {
-          this.lastBad = now();
+          this.failingSince ??= now();
           return Effect.fail(new Unavailable({ why: "503" }));
         }
-        this.lastGood = now();
+        this.failingSince = null;
         if (reply.status === 429) {
           this.requests.refused(now(), Duration.millis(300));
           this.changes.refused(now(), Duration.millis(300));
--- a/src/io/worker-client.ts
+++ b/src/io/worker-client.ts
@@ -17,18 +17,24 @@
   /** Workers to which a connection is kept, the longest unused first. */
   private readonly kept = new Set<string>();
 
-  /** `sockets`: the most that may be open to workers at a time, in use and kept. */
-  constructor(private readonly sockets: number) {
-    this.places = Effect.unsafeMakeSemaphore(Math.ceil(sockets / 2));
+  /** `calls` at a time; `keep`: how many connections may be kept right now. */
+  constructor(
+    calls: number,
+    private readonly keep: () => number,
+  ) {
+    this.places = Effect.unsafeMakeSemaphore(calls);
   }
 
-  private keep(addr: string): void {
+  /** The connections unused for longest make room. */
+  private use(addr: string): void {
     this.kept.delete(addr);
     this.kept.add(addr);
-    if (this.kept.size <= this.sockets / 2) return;
-    const oldest = this.kept.values().next().value!;
-    this.kept.delete(oldest);
-    closeFree(this.agent, oldest);
+    const most = Math.max(1, this.keep());
+    for (const oldest of this.kept) {
+      if (this.kept.size <= most) return;
+      this.kept.delete(oldest);
+      closeFree(this.agent, oldest);
+    }
   }
 
   orders(
@@ -43,7 +49,7 @@
     const timeout = orders.length === 0 ? QUESTION_TIMEOUT : TIMEOUT;
     const ask = Effect.suspend(() => {
       if (!maySend()) return Effect.succeed(null);
-      this.keep(addr);
+      this.use(addr);
       return call(this.agent, { addr, method: "POST", path: ordersPath, body, timeout });
     });
     return this.places
--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -45,6 +45,8 @@
 
 export class Front {
   private open = 0;
+  /** Connections of users, workers and health checks. */
+  connections = 0;
 
   constructor(
     private readonly options: FrontOptions,
@@ -64,6 +66,10 @@
       else if (url === paths.runs || url.startsWith(`${paths.runs}/`)) this.user(url, request, response);
       else this.send(response, problem(404, "no such path"));
     });
+    server.on("connection", (socket) => {
+      this.connections++;
+      socket.once("close", () => this.connections--);
+    });
     return listen(server, this.options.bind, this.options.connections);
   }
 
@@ -84,7 +90,7 @@
   /** Not ready while it alone can't reach the state service: other nodes then serve users better. */
   private up(): Answer {
     if (!this.mirror.ready) return unsure("starting");
-    if (!this.member.stateOk() && this.leader.othersReachState()) return unsure("no state service");
+    if (this.leader.aloneWithoutState()) return unsure("no state service");
     return answer(200, '{"ok":true}');
   }
 
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -52,6 +52,8 @@
 const GIVEN_UP_AFTER = Duration.seconds(6);
 const SWEEP_EVERY = Duration.seconds(1);
 const LIST_RANGES_EVERY = Duration.seconds(30);
+/** Every node asks the state service for something more often than this. */
+const NOTICED_WITHIN = Duration.millis(1200);
 const MAX_ENDED = 4000;
 /** Machines in one record, and records that one sweep shortens: a transaction holds 64 KiB. */
 const BYTES_A_MACHINE = 200;
@@ -179,13 +181,15 @@
     return out;
   }
 
-  /** Whether some other node says that it reaches the state service. */
-  othersReachState(): boolean {
-    const recent = (x: { at: Instant; ok: boolean }) => x.ok && now() - x.at < 2500;
-    return (
-      [...this.members.entries()].some(([name, x]) => name !== this.options.me && recent(x)) ||
-      [...this.member.others.entries()].some(([name, x]) => name !== this.options.me && recent(x))
-    );
+  /**
+   * Whether this node alone can't reach the state service: another one said that it does, so long after this one's
+   * requests began to fail that it would have noticed an outage of all.
+   */
+  aloneWithoutState(): boolean {
+    const since = this.state.failingSince;
+    if (since === null) return false;
+    const words = [...this.members, ...this.member.others];
+    return words.some(([name, x]) => name !== this.options.me && x.ok && passed(x.at, since, NOTICED_WITHIN));
   }
 
   progressOf(id: string): { done: number; running: number } {
--- a/src/service/member.ts
+++ b/src/service/member.ts
@@ -72,8 +72,7 @@
 
   /** Whether this node reaches the state service. */
   stateOk(): boolean {
-    const { lastBad, lastGood } = this.state;
-    return lastBad === null || lastGood > lastBad || now() - lastGood < 1200;
+    return this.state.failingSince === null;
   }
 
   beat(r: WorkerReport): BeatAnswer {
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -15,9 +15,15 @@
 import { Peers, servePeers } from "./peers.js";
 import { Status } from "./status.js";
 
-/** What each side may use of the platform's limit of sockets; the rest is for the state service, the cloud, peers. */
-const FRONT_SOCKETS = 0.65;
-const WORKERS_SOCKETS = 0.25;
+/**
+ * Shares of the platform's limit of sockets. When other nodes are down all workers and users come to this one, so what
+ * is kept open to workers gives way to them.
+ */
+const FRONT = 0.85;
+const CALLS = 0.06;
+const KEPT = 0.3;
+/** The state service, the cloud and the other nodes. */
+const OTHERS = 0.05;
 
 /** Runs until the process is killed; fails only when a socket can't be bound. */
 export const runNode = (settings: Settings, log: Log): Effect.Effect<void, Error> =>
@@ -39,6 +45,8 @@
       settings.peers.map((p) => p.member),
       (other, token) => peers.word(other, token),
     );
+    // the front, which is made last, knows
+    let connections: (() => number) | null = null;
     const member = new Member(
       {
         me: settings.member,
@@ -48,7 +56,10 @@
       },
       membership,
       state,
-      new WorkerClient(Math.max(8, Math.floor(settings.maxConnections * WORKERS_SOCKETS))),
+      new WorkerClient(Math.ceil(settings.maxConnections * CALLS), () => {
+        const left = settings.maxConnections * (1 - OTHERS - CALLS) - (connections?.() ?? 0);
+        return Math.min(left, settings.maxConnections * KEPT);
+      }),
       peers,
       log,
     );
@@ -89,7 +100,7 @@
     const front = new Front(
       {
         bind: settings.front,
-        connections: Math.floor(settings.maxConnections * FRONT_SOCKETS),
+        connections: Math.floor(settings.maxConnections * FRONT),
         teams,
         valueKb: settings.stateLimits.valueKb,
       },
@@ -100,6 +111,7 @@
       leader,
       log,
     );
+    connections = () => front.connections;
     yield* servePeers(settings.peerBind, {
       sync: leader.sync,
       deliver: (d) => member.deliver(d),
