--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -19,6 +19,8 @@
   state: TaskState | "ordered";
   why: Why | null;
   since: Instant;
+  /** When it began to run, if that was seen in time. */
+  began: Instant | null;
   /** Token under which a start got no answer: it may still be executed until the machine saw a higher one. */
   doubt: number | null;
   /** The start was answered with this report, which may still be on its way here: what comes later decides. */
--- a/src/core/pace.ts
+++ b/src/core/pace.ts
@@ -28,16 +28,17 @@
     this.renewed.delete(id);
   }
 
-  /** A task that ran since `since` is done. */
-  done(m: Machine, hold: Hold, since: Instant, now: Instant): void {
-    if (hold.spec?.kind !== "array" || now <= since) return;
+  /** A running task was seen to be done. */
+  done(m: Machine, hold: Hold, now: Instant): void {
+    if (hold.spec?.kind !== "array" || hold.began === null) return;
+    const ms = now - hold.began;
     const job = this.scope.cluster.jobs.get(hold.job);
-    if (job !== undefined && this.isOverdue(job, now - since)) this.setAside(m, now);
+    if (job !== undefined && this.isOverdue(job, ms)) this.setAside(m, now);
     const row = this.ran.get(hold.job);
-    if (row === undefined) this.ran.set(hold.job, { tasks: 1, ms: now - since });
+    if (row === undefined) this.ran.set(hold.job, { tasks: 1, ms });
     else {
       row.tasks++;
-      row.ms += now - since;
+      row.ms += ms;
     }
   }
 
@@ -68,8 +69,8 @@
       if (job === undefined || row.tasks < Math.max(ENOUGH, job.running)) continue;
       for (const holds of job.holds.values())
         for (const hold of holds) {
-          if (hold.state !== "running" || hold.stopping || hold.doubt !== null) continue;
-          if (!this.isOverdue(job, now - hold.since)) continue;
+          if (hold.state !== "running" || hold.stopping || hold.began === null) continue;
+          if (!this.isOverdue(job, now - hold.began)) continue;
           const m = cluster.machines.get(hold.machine)!;
           // a silent machine is another matter; so is a task that was slow before
           if (m.inFlight || m.heard === null || passed(now, m.heard, this.scope.fresh)) continue;
--- a/src/core/placer.ts
+++ b/src/core/placer.ts
@@ -229,6 +229,7 @@
       state: "ordered",
       why: null,
       since: now,
+      began: null,
       doubt: null,
       answered: null,
       stopping: false,
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -249,6 +249,9 @@
     // the message with the larger (session, seq) is the newer one; older ones say nothing about now
     if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return;
     const newSession = r.session > m.session && m.session > 0;
+    // after a gap (an outage, a take-over) it isn't known when its tasks began and ended
+    const inTime =
+      m.heard !== null && !passed(at, m.heard, Duration.times(this.options.spans.reportEvery, 1.5));
     m.session = r.session;
     m.seq = r.seq;
     m.token = Math.max(m.token, r.token);
@@ -280,6 +283,7 @@
           state: t.state,
           why: t.why,
           since: now,
+          began: null,
           doubt: null,
           answered: null,
           stopping: t.state === "saving",
@@ -292,8 +296,9 @@
       const doubt = hold.doubt !== null && r.token > hold.doubt ? null : hold.doubt;
       if (before === t.state && doubt === hold.doubt) continue;
       const since = before === t.state ? hold.since : now;
-      if (before === "running" && t.why === "done") this.pace.done(m, hold, hold.since, now);
-      changeHold(this.cluster, hold, { state: t.state, why: t.why, since, doubt });
+      if (before === "running" && t.why === "done" && inTime) this.pace.done(m, hold, now);
+      const began = before === t.state ? hold.began : t.state === "running" && inTime ? now : null;
+      changeHold(this.cluster, hold, { state: t.state, why: t.why, since, began, doubt });
       if (t.state === "running" || (t.state === "exited" && before !== "exited"))
         this.seenState(m, hold, now);
     }
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -439,3 +439,22 @@
   const released = scene.s.stepFleet(instant(scene.now)).filter((d) => d.kind === "release");
   assert.ok(released.some((d) => d.machines.includes("n-2") && d.why === "slow"));
 });
+
+test("after a take-over nobody passes for slow: when its tasks began isn't known", () => {
+  const scene = new Scene([...EAST, { id: "n-4", zone: "east" }]);
+  const running = (index: number): TaskReport => {
+    return { job: "req-000001", index, attempt: 7, state: "running", why: null };
+  };
+  for (const [i, id] of ["n-1", "n-2", "n-3", "n-4"].entries())
+    for (const index of [2 * i, 2 * i + 1]) scene.tasks.get(id)!.set(`${index}`, running(index));
+  for (const id of scene.tasks.keys()) scene.report(id);
+  scene.s.jobSeen(spec({ tasks: 8 }), 20, instant(0));
+  scene.step();
+  for (const id of ["n-1", "n-2", "n-3"]) scene.end(id, "done");
+  for (let i = 0; i < 40; i++) scene.step();
+  assert.deepEqual(
+    [...scene.s.cluster.machines.values()].filter((m) => m.slow),
+    [],
+  );
+  assert.equal(scene.ops("stop"), 0);
+});
