A submission that lacks a field is malformed; earlier records without it are still read

The protocol lets only builds, district and due_s be null or left out; the schema let seven more. The test that a null is the same as an omitted field holds for those three; a new one goes through every field, as strict for the rest. Records are checked by a schema of their own, since jobs accepted so before have to run.

--- a/src/io/codec.ts
+++ b/src/io/codec.ts
@@ -14,7 +14,7 @@
   WorkerReport,
 } from "../core/records.js";
 import { taskName } from "../core/records.js";
-import { submissionSchema } from "./schemas.js";
+import { jobRecordSchema, submissionSchema } from "./schemas.js";
 
 // --- users ----------------------------------------------------------------------------------------------
 
@@ -49,7 +49,9 @@
   idle: "low",
 };
 
-const checkJob = new Ajv({ strict: false }).compile<WireJob>(submissionSchema);
+const ajv = new Ajv({ strict: false });
+const checkJob = ajv.compile<WireJob>(submissionSchema);
+const checkRecord = ajv.compile<WireJob>(jobRecordSchema);
 
 /** The submission, or one line that says what is wrong with it. */
 export const parseSubmission = (body: string): { wire: WireJob; spec: JobSpec } | string => {
@@ -109,7 +111,9 @@
 
 /** A job record as it was read; null: it can't be what was accepted under this id. */
 export const readJob = (id: string, value: unknown): JobSpec | null =>
-  typeof value === "object" && value !== null && checkJob(value) && value.ref === id ? specOf(value) : null;
+  typeof value === "object" && value !== null && checkRecord(value) && value.ref === id
+    ? specOf(value)
+    : null;
 
 export type UserState = "queued" | "running" | "done" | "cancelled";
 const USER_STATES: Record<UserState, string> = {
--- a/src/io/schemas.ts
+++ b/src/io/schemas.ts
@@ -84,40 +84,35 @@
 
 const nullable = (schema: Record<string, unknown>) => ({ ...schema, nullable: true });
 
-/** POST /v2/runs. Null and omitted are the same; fields it doesn't name are ignored. */
-export const submissionSchema = object(
-  {
-    ref: { type: "string", pattern: "^req-[0-9]{1,18}$" },
-    roster: text,
-    crew: text,
-    shape: { type: "string", enum: ["array", "ensemble", "daemon"] },
-    urgency: { type: "string", enum: ["critical", "urgent", "normal", "idle"] },
-    chores: { type: "integer", minimum: 1, maximum: 100_000 },
-    vcpus: positive,
-    gpus: nullable(amount),
-    mem_gb: positive,
-    bundle: text,
-    image_gb: amount,
-    builds: nullable({ type: "array", items: text }),
-    district: nullable(text),
-    together: nullable({ type: "boolean" }),
-    apart: nullable({ type: "boolean" }),
-    loaners: nullable({ type: "boolean" }),
-    expected_s: nullable(amount),
-    bookmark_s: nullable(amount),
-    stash_s: nullable(amount),
-    due_s: nullable(amount),
-  },
-  [
-    "gpus",
-    "builds",
-    "district",
-    "together",
-    "apart",
-    "loaners",
-    "expected_s",
-    "bookmark_s",
-    "stash_s",
-    "due_s",
-  ],
+const submission = {
+  ref: { type: "string", pattern: "^req-[0-9]{1,18}$" },
+  roster: text,
+  crew: text,
+  shape: { type: "string", enum: ["array", "ensemble", "daemon"] },
+  urgency: { type: "string", enum: ["critical", "urgent", "normal", "idle"] },
+  chores: { type: "integer", minimum: 1, maximum: 100_000 },
+  vcpus: positive,
+  gpus: amount,
+  mem_gb: positive,
+  bundle: text,
+  image_gb: amount,
+  builds: nullable({ type: "array", items: text }),
+  district: nullable(text),
+  together: { type: "boolean" },
+  apart: { type: "boolean" },
+  loaners: { type: "boolean" },
+  expected_s: amount,
+  bookmark_s: amount,
+  stash_s: amount,
+  due_s: nullable(amount),
+} as const;
+
+/** POST /v2/runs. What may be null may be omitted; all else has to be there. Fields it doesn't name are ignored. */
+export const submissionSchema = object(submission, ["builds", "district", "due_s"]);
+
+/** A job record: earlier versions accepted submissions that lack some fields, and those jobs have to run. */
+const LENIENT = ["gpus", "together", "apart", "loaners", "expected_s", "bookmark_s", "stash_s"] as const;
+export const jobRecordSchema = object(
+  { ...submission, ...Object.fromEntries(LENIENT.map((name) => [name, nullable(submission[name])])) },
+  ["builds", "district", "due_s", ...LENIENT],
 );
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -19,7 +19,7 @@
   wordOfAll,
 } from "../src/core/term.js";
 import { instant } from "../src/core/time.js";
-import { parseReport, parseSubmission } from "../src/io/codec.js";
+import { parseReport, parseSubmission, readJob } from "../src/io/codec.js";
 import { deliveredCodec, syncCodec } from "../src/io/peer-codec.js";
 import { Blocks } from "../src/service/blocks.js";
 import { fromPieces, toPieces } from "../src/service/mailbox.js";
@@ -238,14 +238,37 @@
   urgency: "urgent",
   chores: 4,
   vcpus: 2,
-  gpus: null,
+  gpus: 0,
   mem_gb: 4,
   bundle: "img",
   image_gb: 1,
+  district: null,
+  together: false,
   apart: true,
+  loaners: false,
+  expected_s: 20,
+  bookmark_s: 0,
+  stash_s: 0,
   due_s: 90,
 };
 
+const without = (...names: string[]): object =>
+  Object.fromEntries(Object.entries(submission).filter(([name]) => !names.includes(name)));
+
+test("a submission that lacks a field is malformed; a record that an earlier version accepted so is read", () => {
+  const optional = ["builds", "district", "due_s"];
+  for (const name of Object.keys(submission)) {
+    const rest = without(name);
+    const isFine = typeof parseSubmission(JSON.stringify(rest)) !== "string";
+    assert.equal(isFine, optional.includes(name), name);
+    const isNull = typeof parseSubmission(JSON.stringify({ ...rest, [name]: null })) !== "string";
+    assert.equal(isNull, optional.includes(name), `${name}: null`);
+  }
+  const old = without("gpus", "loaners", "stash_s");
+  assert.equal(readJob("req-000412", old)?.gpus, 0);
+  assert.equal(readJob("req-000413", old), null);
+});
+
 test("submissions: null and omitted are the same, and the limits of teams and machines decide", () => {
   const parsed = parseSubmission(JSON.stringify(submission));
   assert.ok(typeof parsed !== "string");
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -61,7 +61,13 @@
   mem_gb: 1,
   bundle: "img",
   image_gb: 0.1,
+  gpus: 0,
+  together: false,
+  apart: false,
   loaners: true,
+  expected_s: 1,
+  bookmark_s: 0,
+  stash_s: 0,
   not_known: "ignored",
   ...more,
 });
@@ -143,7 +149,7 @@
 });
 
 test("a cancel ends a service for good, on every machine", async () => {
-  const service = job("req-000009", { shape: "daemon", urgency: "critical", chores: 1, loaners: null });
+  const service = job("req-000009", { shape: "daemon", urgency: "critical", chores: 1, loaners: false });
   assert.equal((await ask("POST", "/v2/runs", service)).status, 201);
   await until("it runs", async () => (await ask("GET", "/v2/runs/req-000009")).json["running"] === 1);
   const answer = { status: 200, json: { ref: "req-000009", status: "aborted" } };
