Machines that reach no controller are told from live ones; late writes of finishes hide none

- A machine whose reports reach nobody but that answers direct questions counted as alive and got work until its lease ended, again and again.
Now the answers to reports of its own count: without them it gets no new work, and it goes back just before its lease ends.
- A write of finishes without an answer that is carried out after a newer one of the same window took the newer finishes back; a later leader would have run those tasks anew.
After an unanswered write other keys are used.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -77,6 +77,8 @@
   readonly confirmed: boolean;
   /** When a newer message of its worker came last; null: none since this leader began. */
   readonly heard: Instant | null;
+  /** When a member last answered a report of its worker, which alone renews its lease; null: not since this leader began. */
+  renewed: Instant | null;
   created: Instant;
   failed: boolean;
   releasing: Instant | null;
@@ -181,6 +183,7 @@
   recording: false,
   confirmed: false,
   heard: null,
+  renewed: null,
   created: now,
   failed: false,
   releasing: null,
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -21,6 +21,8 @@
   untold: RangeSet;
   /** What the last successful write of each chunk held. */
   readonly written: Map<number, string>;
+  /** Grows with each write that got no answer: that one may be carried out after later ones, which need other keys. */
+  epoch: number;
   /** Since when a finish waits to be stored. */
   since: Instant | null;
   writing: boolean;
@@ -196,6 +198,7 @@
         stored: new RangeSet(),
         untold: new RangeSet(),
         written: new Map(),
+        epoch: 0,
         since: null,
         writing: false,
       };
@@ -244,7 +247,12 @@
       for (const [chunk, ranges] of windows(f.known.ranges(), this.valueBytes)) {
         const text = JSON.stringify(ranges);
         if (f.written.get(chunk) !== text && puts.length < room)
-          puts.push({ key: keys.rangesOf(job, writer, chunk), chunk, text, ranges });
+          puts.push({
+            key: keys.rangesOf(job, f.epoch === 0 ? writer : `${writer}.${f.epoch}`, chunk),
+            chunk,
+            text,
+            ranges,
+          });
       }
       if (puts.length === 0) continue;
       f.writing = true;
@@ -260,6 +268,10 @@
     if (f === undefined) return;
     f.writing = false;
     if (result === "over") this.jobOver(w.job);
+    if (result === "failed") {
+      f.epoch++;
+      f.written.clear();
+    }
     if (result !== "stored") return;
     for (const put of w.puts) {
       f.written.set(put.chunk, put.text);
--- a/src/core/returns.ts
+++ b/src/core/returns.ts
@@ -30,6 +30,7 @@
   readonly heard: number;
   readonly silent: number;
   readonly unheard: number;
+  readonly unrenewed: number;
   readonly mute: number;
 }
 
@@ -71,9 +72,11 @@
       if (!passed(now, m.heard!, this.scope.fresh)) break;
       silent++;
     }
+    let unrenewed = 0;
+    for (const m of cluster.hearing) if (this.scope.unrenewed(m, now)) unrenewed++;
     let unheard = 0;
     for (const m of cluster.unconfirmed) if (m.heard === null) unheard++;
-    return { heard: cluster.hearing.size, silent, unheard, mute: cluster.mute.size };
+    return { heard: cluster.hearing.size, silent, unheard, unrenewed, mute: cluster.mute.size };
   }
 
   private reason(m: Machine, now: Instant, silence: Silence): string | null {
@@ -125,6 +128,10 @@
       const settled = some ? Duration.toMillis(this.movesOn) : Math.min(soon, patience);
       return silentFor >= patience && now - termBegan >= settled ? "silent" : null;
     }
+    // nothing is won by ending its tasks much sooner than its lease does; a release lets them start elsewhere then
+    const unrenewed = m.renewed !== null && passed(now, m.renewed, this.almostALease);
+    if (unrenewed && passed(now, termBegan, this.almostALease) && few(silence.unrenewed, silence.heard))
+      return "reaches no controller";
     // its reports arrive, but nothing that we say does: a release is what it needs, and the proof that it is over
     if (m.mute !== null && m.unanswered >= DEAF_AFTER && few(silence.mute, silence.heard)) {
       const since = Math.max(m.mute, termBegan) as Instant;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -399,6 +399,10 @@
     now: Instant,
   ): void {
     this.proof.vouched(member, incarnation, token, asOf, answered, now);
+    for (const { machine, at } of answered) {
+      const m = this.cluster.machines.get(machine);
+      if (m !== undefined && (m.renewed === null || at > m.renewed)) m.renewed = at;
+    }
   }
 
   /** What became of orders that were sent under this token, and which report they were answered with. */
--- a/src/core/scope.ts
+++ b/src/core/scope.ts
@@ -6,7 +6,7 @@
 import type { Usage } from "./quota.js";
 import type { MachineType, Team, TermRecord } from "./records.js";
 import type { Spans } from "./term.js";
-import type { Instant } from "./time.js";
+import { type Instant, passed } from "./time.js";
 import { ZoneWatch } from "./zones.js";
 
 export interface SchedulerOptions {
@@ -48,7 +48,14 @@
     setMachine(this.cluster, m, { cpus, gpus, memoryGb, cacheGb });
   }
 
-  readonly usable = (m: Machine, now: Instant): boolean => usable(m, now, this.fresh);
+  readonly usable = (m: Machine, now: Instant): boolean =>
+    usable(m, now, this.fresh) && !this.unrenewed(m, now);
+
+  /** It answers direct questions, but its reports reach nobody: its lease runs out, with all that is on it. */
+  unrenewed(m: Machine, now: Instant): boolean {
+    const span = Duration.sum(this.fresh, this.options.spans.reportEvery);
+    return m.renewed !== null && passed(now, m.renewed, span);
+  }
 
   usageOf(team: string): Usage {
     return this.cluster.usage.get(team) ?? { cpus: 0, gpus: 0 };
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -214,6 +214,28 @@
   assert.deepEqual(told(), [{ job: "req-1", ranges: [[3, 4]] }]);
 });
 
+test("a write of finishes that got no answer can't take later ones back when it is carried out late", () => {
+  const part = newPart("b");
+  const stored = new Map<string, readonly (readonly [number, number])[]>();
+  const finish = (index: number, now: number): void =>
+    part.take(
+      report({ seq: now, tasks: [{ job: "req-1", index, attempt: 1, state: "exited", why: "done" }] }),
+      instant(now),
+    );
+  const write = (now: number) => part.toStore("b.2", 8, instant(now), () => true)[0]!;
+  const apply = (w: ReturnType<typeof write>): void => w.puts.forEach((p) => stored.set(p.key, p.ranges));
+  finish(3, 10);
+  const late = write(5000);
+  part.storeAnswered(late, "failed", instant(5100));
+  finish(7, 5200);
+  const next = write(10_000);
+  apply(next);
+  part.storeAnswered(next, "stored", instant(10_100));
+  apply(late);
+  const all = RangeSet.of([...stored.values()].flat());
+  assert.ok(all.has(3) && all.has(7), JSON.stringify([...stored]));
+});
+
 test("a budget keeps its rate, and lets the urgent through", () => {
   const budget = new Budget(10, 10);
   let now = 0;
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -342,6 +342,38 @@
   assert.equal(elsewhere(), held.size);
 });
 
+test("a machine whose reports reach nobody, though it answers orders, gets no new work and goes before its lease ends", () => {
+  const scene = new Scene(EAST);
+  scene.s.jobSeen(spec({ tasks: 60, image: "x" }), 20, instant(0));
+  const renewedAll = (but: string): void => {
+    const answered = EAST.filter(({ id }) => id !== but).map(({ id }) => ({
+      machine: id,
+      at: instant(scene.now),
+    }));
+    scene.s.vouched("a", 1, scene.s.term.token, instant(scene.now), answered, instant(scene.now));
+  };
+  let why = "";
+  let startsLate = 0;
+  for (let i = 0; i < 80 && why === ""; i++) {
+    // Scene's machines report by whatever way; only answers to reports of their own renew their leases
+    renewedAll(i < 4 ? "" : "n-2");
+    const before = scene.sent.length;
+    scene.step();
+    if (scene.now > 14_000)
+      startsLate += scene.sent
+        .slice(before)
+        .filter((x) => x.machine === "n-2" && x.order.op === "start").length;
+    for (const { id } of EAST) scene.end(id, "done");
+    for (const d of scene.s.stepFleet(instant(scene.now)))
+      if (d.kind === "release" && d.machines.includes("n-2")) why = d.why;
+  }
+  assert.equal(why, "reaches no controller");
+  assert.equal(startsLate, 0);
+  const lease = Duration.toMillis(SPANS.workerLease);
+  assert.ok(scene.now < 2000 + lease, `released at ${scene.now}`);
+  assert.ok(scene.now > 2000 + lease / 2, `released at ${scene.now}: too soon for what runs there`);
+});
+
 test("a large job of low priority begins in bounded time under a steady stream of others", () => {
   const scene = new Scene(EAST);
   let n = 0;
