--- a/test/model.ts
+++ b/test/model.ts
@@ -23,7 +23,24 @@
 import { type Instant, instant, minus } from "../src/core/time.js";
 
 /** A guard that a run may take out, to show that the checker notices. */
-export type Guard = "confirm" | "fence" | "doubt" | "quota" | "zone" | "cancel" | "read";
+export type Guard =
+  | "confirm"
+  | "fence"
+  | "doubt"
+  | "quota"
+  | "zone"
+  | "cancel"
+  | "read"
+  /** Late transactions of a leader aren't bound to its key. */
+  | "stamp"
+  /** Late transactions don't ask whether the job is over. */
+  | "absent"
+  /** Late copies of reports are taken for new ones: those of this session, and those of earlier ones. */
+  | "seq"
+  | "session";
+
+/** What may befall a machine for a while. */
+export type MachineTrouble = "hung" | "cut" | "deaf" | "mute";
 
 const TTL = Duration.seconds(3);
 export const SPANS = spansOf({ leaseS: 12, reportS: 1, cancelS: 30 }, TTL);
@@ -68,6 +85,8 @@
   cutUntil = 0;
   /** Its reports arrive, but nothing reaches it. */
   deafUntil = 0;
+  /** Its reports reach nobody, but direct orders reach it. */
+  muteUntil = 0;
   node = 0;
   nextReport: number;
   readonly tasks = new Map<string, WorkerTask>();
@@ -128,6 +147,21 @@
   started = 0;
   committed = 0;
   terms = 0;
+  leaders = 0;
+  /** How often troubles really met, by name. */
+  readonly met = new Map<string, number>();
+  /** Share of transactions that get no answer and are carried out 2 to 12 s later, after newer ones. */
+  lateWrites = 0;
+  /** Share of reports of which a copy arrives again, 2 s to 2.5 leases later. */
+  lateReports = 0;
+  /** Share of direct orders that are held up on their way, or whose answers are. */
+  heldOrders = 0;
+  /** Share of jobs that are called off at the very end of their last task. */
+  cancelsAtEnd = 0;
+  /** Up to so much longer every message takes. */
+  slowLinksMs = 0;
+  /** Up to so much longer the state service takes. */
+  slowStateMs = 0;
   private readonly random: () => number;
   private readonly messages: { at: number; run: () => void }[] = [];
   private readonly nodes: Node[] = [];
@@ -147,6 +181,14 @@
   private readonly zoneCutUntil = new Map<string, number>();
   private nextJob = 0;
   private machines = 0;
+  private writes = 0;
+  private calm = false;
+  /** Draws for the troubles above, so that runs without them stay the same. */
+  private readonly extra: () => number;
+  /** How long the tasks of some jobs run. */
+  private readonly lasts = new Map<string, readonly number[]>();
+  /** Since when a job waits though a machine has room for it. */
+  private readonly idleRoom = new Map<string, number>();
 
   constructor(
     seed: number,
@@ -156,6 +198,8 @@
   ) {
     const generator = xoroshiro128plus(seed);
     this.random = () => uniformFloat64(generator);
+    const other = xoroshiro128plus(seed ^ 0x5eed);
+    this.extra = () => uniformFloat64(other);
     for (const [i, zone] of ["east", "west", "east"].entries())
       this.nodes.push(this.newNode(`node-${i}`, zone));
     for (let i = 0; i < 3; i++)
@@ -210,11 +254,52 @@
     return list[Math.floor(this.random() * list.length)]!;
   }
   /** Messages are quick, slow, or held back for long; some never arrive. */
-  private later(run: () => void, mayBeLost = true): void {
+  private later(run: () => void, mayBeLost = true, slower = 0): void {
     const luck = this.random();
     if (mayBeLost && luck < 0.01 * this.rough) return;
     const delay = luck > 1 - 0.02 * this.rough ? 500 + this.random() * 9000 : 2 + this.random() * 40;
-    this.messages.push({ at: this.now + delay, run });
+    const links = this.slowLinksMs > 0 ? this.extra() * this.slowLinksMs : 0;
+    this.messages.push({ at: this.now + delay + links + slower, run });
+  }
+  private stateDelay(): number {
+    return this.slowStateMs > 0 ? this.extra() * this.slowStateMs : 0;
+  }
+  private count(what: string, n = 1): void {
+    this.met.set(what, (this.met.get(what) ?? 0) + n);
+  }
+
+  /**
+   * A transaction to the state service: true: carried out; false: a condition failed; null: no answer, and it may be
+   * carried out yet, after newer ones, if its conditions hold then.
+   */
+  private transact(node: Node, holds: (late: boolean) => boolean, apply: () => void): boolean | null {
+    if (!this.reachesState(node)) return null;
+    if (this.lateWrites > 0 && this.extra() < this.lateWrites) {
+      this.carryOutLate(holds, apply);
+      return null;
+    }
+    this.writes++;
+    if (!holds(false)) return false;
+    apply();
+    return true;
+  }
+  private carryOutLate(holds: (late: boolean) => boolean, apply: () => void): void {
+    const { writes } = this;
+    const run = (): void => {
+      if (this.now < this.stateDownUntil) return void this.messages.push({ at: this.stateDownUntil, run });
+      if (this.writes > writes) this.count("late writes after newer ones");
+      this.writes++;
+      if (holds(true)) apply();
+      else this.count("late writes refused");
+    };
+    this.messages.push({ at: this.now + 2000 + this.extra() * 10_000, run });
+  }
+  /** Conditions of a transaction: the leader's key still has this stamp; the job has no commit yet. */
+  private keyIs(stamp: number, late: boolean): boolean {
+    return (late && this.without === "stamp") || this.leader?.stamp === stamp;
+  }
+  private isOpen(job: string, late: boolean): boolean {
+    return (late && this.without === "absent") || !this.commits.has(job);
   }
 
   /** Something that a node's process does when a message is there: a process that stands still does it later. */
@@ -362,15 +447,48 @@
         save: Duration.zero,
         deadline: null,
       };
-      this.allJobs.set(spec.id, spec);
-      this.jobs.set(spec.id, { spec, stamp: ++this.revision });
+      this.accept(spec);
     }
     if (this.jobs.size > 0 && this.rough > 0 && this.chance(0.15 / this.rough))
-      this.commit(this.pick([...this.jobs.keys()]), "cancelled");
+      this.cancel(this.pick([...this.jobs.keys()]));
+  }
+
+  private accept(spec: JobSpec): void {
+    this.allJobs.set(spec.id, spec);
+    this.jobs.set(spec.id, { spec, stamp: ++this.revision });
+    // the user sent it twice, and the first one comes last
+    if (this.lateWrites > 0 && this.extra() < this.lateWrites)
+      this.carryOutLate(
+        (late) => !this.jobs.has(spec.id) && this.isOpen(spec.id, late),
+        () => {
+          if (this.commits.has(spec.id))
+            this.broken.push({ rule: "went_back", text: `${spec.id} queued at ${this.now}` });
+          this.jobs.set(spec.id, { spec, stamp: ++this.revision });
+        },
+      );
   }
 
+  /** A user calls a job off, and is told that it is over; says on how many machines it was. */
+  cancel(id: string): number {
+    if (!this.jobs.has(id) || this.now < this.stateDownUntil) return 0;
+    const on = this.onMachines(id).length;
+    this.commit(id, "cancelled");
+    if (this.lateWrites > 0 && this.extra() < this.lateWrites)
+      this.carryOutLate(
+        (late) => this.isOpen(id, late),
+        () => this.commit(id, "cancelled"),
+      );
+    return on;
+  }
+
+  /** The commit record is written. */
   private commit(id: string, outcome: "done" | "cancelled"): void {
-    if (this.commits.has(id)) return;
+    const before = this.commits.get(id);
+    if (before !== undefined) {
+      if (before.outcome !== outcome)
+        this.broken.push({ rule: "went_back", text: `${id}: ${before.outcome}, then ${outcome}` });
+      return;
+    }
     this.commits.set(id, { outcome, at: this.now });
     this.jobs.delete(id);
     this.revision++;
@@ -411,8 +529,12 @@
       if (t.state === "exited") continue;
       t.left -= STEP;
       if (t.state === "fetching" && t.left <= 0) {
-        t.state = "running";
-        t.left = this.allJobs.get(t.job)!.kind === "service" ? Infinity : 500 + this.random() * 6000;
+        // the result is kept: what completed before exits as soon as it has its image
+        const before = this.completed.get(t.job)?.has(t.index) ?? false;
+        t.state = before ? "exited" : "running";
+        if (before) t.why = "done";
+        const usual = this.allJobs.get(t.job)!.kind === "service" ? Infinity : 500 + this.random() * 6000;
+        t.left = this.lasts.get(t.job)?.[t.index] ?? usual;
       } else if (t.left <= 0) {
         t.state = "exited";
         t.why = this.random() < 0.05 ? "error" : "done";
@@ -420,13 +542,22 @@
           const done = this.completed.get(t.job) ?? new RangeSet();
           if (!done.has(t.index)) done.add(t.index);
           this.completed.set(t.job, done);
+          this.taskEnded(t.job, done);
         }
       }
     }
     if (this.now < w.nextReport || this.now < w.cutUntil) return;
     w.nextReport = this.now + 1000;
     const sent = this.now;
+    if (this.now < w.muteUntil) {
+      w.node++;
+      return;
+    }
     const report = this.report(w);
+    if (this.lateReports > 0 && this.extra() < this.lateReports) {
+      const lease = Duration.toMillis(SPANS.workerLease);
+      this.deliverCopy(w, report, this.now + 2000 + this.extra() * (2.5 * lease - 2000), null);
+    }
     const node = this.nodes[w.node % this.nodes.length]!;
     // a copy may come late, from seconds to well over a lease, and to whoever is there then
     if (this.chance(0.2)) {
@@ -468,6 +599,36 @@
     );
   }
 
+  /** The last task of a job has completed: some users call it off at this very moment, before or after it is known. */
+  private taskEnded(id: string, done: RangeSet): void {
+    if (this.cancelsAtEnd === 0 || !this.jobs.has(id)) return;
+    if (!done.covers(this.allJobs.get(id)!.tasks) || this.extra() >= this.cancelsAtEnd) return;
+    this.messages.push({
+      at: this.now + this.extra() * 1500,
+      run: () => {
+        if (this.now < this.stateDownUntil) return;
+        const outcome = this.commits.get(id)?.outcome;
+        this.count(outcome === "done" ? "called off once done" : "called off before it was known");
+        // the answer is done already, or cancelled for ever
+        this.cancel(id);
+      },
+    });
+  }
+
+  /** A copy of a report arrives at `at`, at any node or at who leads then. */
+  private deliverCopy(w: Worker, report: WorkerReport, at: number, to: Node | null): void {
+    const node = to ?? this.nodes[Math.floor(this.extra() * this.nodes.length)]!;
+    const run = this.on(node, () => {
+      if (!node.alive) return;
+      const earlier = report.session < w.session;
+      this.count(earlier ? "copies from an earlier session" : "copies after newer ones");
+      // without the guard the copy counts as new
+      const believed = this.without === (earlier ? "session" : "seq");
+      this.beat(node, believed ? { ...report, session: w.session, seq: ++w.seq, token: w.token } : report);
+    });
+    this.messages.push({ at, run });
+  }
+
   /** What a node was told by the state service, it knows for as long as it lives. */
   private beat(node: Node, report: WorkerReport): BeatAnswer {
     const isOver = (job: string): boolean => {
@@ -507,6 +668,13 @@
       return;
     }
     this.started++;
+    const commit = this.commits.get(o.job);
+    if (commit?.outcome === "cancelled") {
+      this.count("starts after a confirmed cancellation");
+      // gone within a step perhaps, so the check after each step wouldn't see it
+      if (this.now > commit.at + Duration.toMillis(SPANS.cancel))
+        this.broken.push({ rule: "ran_cancelled", text: `${o.job}/${o.index} starts at ${this.now}` });
+    }
     const elsewhere = this.holders(o.job, o.index).filter((x) => x !== w);
     if (elsewhere.length > 0)
       this.broken.push({
@@ -568,6 +736,7 @@
         this.leader = { name: node.name, until: node.leaseUntil, stamp: ++this.revision };
         node.leaderStamp = this.leader.stamp;
         node.scheduler = null;
+        this.leaders++;
       }
       if (this.leader.name === node.name && this.leader.stamp === node.leaderStamp) this.lead(node);
       if (node.term !== this.term && this.term !== null) {
@@ -577,24 +746,28 @@
       }
       node.confirmed = sent;
     };
-    this.later(() => {
-      if (!this.reachesState(node) || node.incarnation !== incarnation) return;
-      if (this.now >= node.leaseUntil) {
-        if (this.now < node.frozenUntil) return;
-        // a new lease, a new key; the leader's key went with the old one
-        if (this.leader?.name === node.name) this.leader = null;
-        node.incarnation = ++this.revision;
-        node.scheduler = null;
-      }
-      node.leaseUntil = this.now + Duration.toMillis(TTL);
-      if (this.leader?.name === node.name && this.leader.stamp === node.leaderStamp)
-        this.leader.until = node.leaseUntil;
-      const renewed = node.incarnation;
-      this.on(node, () => {
-        // a lease that ended while the process stood still is found out by the next renewal
-        if (node.incarnation === renewed && this.now < node.leaseUntil) answered();
-      })();
-    });
+    this.later(
+      () => {
+        if (!this.reachesState(node) || node.incarnation !== incarnation) return;
+        if (this.now >= node.leaseUntil) {
+          if (this.now < node.frozenUntil) return;
+          // a new lease, a new key; the leader's key went with the old one
+          if (this.leader?.name === node.name) this.leader = null;
+          node.incarnation = ++this.revision;
+          node.scheduler = null;
+        }
+        node.leaseUntil = this.now + Duration.toMillis(TTL);
+        if (this.leader?.name === node.name && this.leader.stamp === node.leaderStamp)
+          this.leader.until = node.leaseUntil;
+        const renewed = node.incarnation;
+        this.on(node, () => {
+          // a lease that ended while the process stood still is found out by the next renewal
+          if (node.incarnation === renewed && this.now < node.leaseUntil) answered();
+        })();
+      },
+      true,
+      this.stateDelay(),
+    );
   }
 
   private lead(node: Node): void {
@@ -602,10 +775,13 @@
       .filter((n) => n.alive && n.leaseUntil > this.now)
       .map((n) => ({ name: n.name, incarnation: n.incarnation, zone: n.zone }));
     const fresh = node.scheduler === null;
-    if (!fresh && this.term !== null && sameMembers(this.term.members, members)) return;
-    this.newTerm(node, members);
+    const current = !fresh && this.term !== null && sameMembers(this.term.members, members);
+    if (!current && !this.newTerm(node, members)) return;
     if (!fresh) {
-      node.scheduler!.renewTerm(this.term!, instant(this.now));
+      // also a term of its own that was written late
+      const { term } = this;
+      if (node.scheduler!.term !== term && term!.key === node.leaderStamp)
+        node.scheduler!.renewTerm(term!, instant(this.now));
       return;
     }
     // the state service answers at once in the model: reread everything
@@ -631,15 +807,27 @@
     node.scheduler = s;
   }
 
-  private newTerm(node: Node, members: TermRecord["members"]): void {
-    this.terms++;
-    const token = (this.term?.token ?? 0) + 1;
-    this.term = { token, key: node.leaderStamp, leader: node.name, members };
-    node.term = this.term;
-    node.part.setTerm(this.term);
+  /** Writes the next term; without an answer the old one goes on, until the node sees what became of it. */
+  private newTerm(node: Node, members: TermRecord["members"]): boolean {
+    const old = this.term;
+    const { leaderStamp } = node;
+    const term: TermRecord = { token: (old?.token ?? 0) + 1, key: leaderStamp, leader: node.name, members };
+    const written = this.transact(
+      node,
+      (late) =>
+        (late && this.without === "stamp") || (this.leader?.stamp === leaderStamp && this.term === old),
+      () => {
+        this.terms++;
+        this.term = term;
+      },
+    );
+    if (written !== true) return false;
+    node.term = term;
+    node.part.setTerm(term);
     node.words = new Map();
     node.confirmed = null;
     node.nextRenew = this.now;
+    return true;
   }
 
   private tell(s: Scheduler, spec: JobSpec, stamp: number): void {
@@ -653,19 +841,23 @@
     const { incarnation } = node;
     const asked = instant(this.now);
     if (!this.reachesState(node)) return;
-    this.later(() => {
-      if (!this.reachesState(node)) return;
-      const jobs = new Map(this.jobs);
-      const { revision } = this;
-      this.later(
-        this.on(node, () => {
-          if (node.incarnation !== incarnation || asked < (node.read ?? -1)) return;
-          node.read = asked;
-          node.known = jobs;
-          node.knownUpTo = revision;
-        }),
-      );
-    });
+    this.later(
+      () => {
+        if (!this.reachesState(node)) return;
+        const jobs = new Map(this.jobs);
+        const { revision } = this;
+        this.later(
+          this.on(node, () => {
+            if (node.incarnation !== incarnation || asked < (node.read ?? -1)) return;
+            node.read = asked;
+            node.known = jobs;
+            node.knownUpTo = revision;
+          }),
+        );
+      },
+      true,
+      this.stateDelay(),
+    );
   }
 
   private watchJobs(node: Node, s: Scheduler): void {
@@ -746,25 +938,39 @@
         node.part.storeAnswered(w, "over", at);
         continue;
       }
-      const set = this.stored.get(w.job) ?? new RangeSet();
-      for (const put of w.puts) for (const [from, to] of put.ranges) set.add(from, to);
-      this.stored.set(w.job, set);
-      node.part.storeAnswered(w, this.random() < 0.1 ? "failed" : "stored", at);
+      const wrote = this.transact(
+        node,
+        (late) => this.isOpen(w.job, late),
+        () => {
+          const set = this.stored.get(w.job) ?? new RangeSet();
+          for (const put of w.puts) for (const [from, to] of put.ranges) set.add(from, to);
+          this.stored.set(w.job, set);
+        },
+      );
+      node.part.storeAnswered(w, this.random() < 0.1 || wrote !== true ? "failed" : "stored", at);
     }
   }
 
   private carryOut(node: Node, s: Scheduler, d: Decision): void {
     const ownKey = () => this.reachesState(node) && this.leader?.stamp === node.leaderStamp;
+    const { leaderStamp } = node;
     if (d.kind === "orders") this.sendOrders(node, s, d);
     else if (d.kind === "commit") {
       // a job cancelled in the meantime has its commit already
-      if (ownKey()) this.commit(d.job, "done");
+      this.transact(
+        node,
+        (late) => this.keyIs(leaderStamp, late) && this.isOpen(d.job, late),
+        () => this.commit(d.job, "done"),
+      );
       s.commitFailed(d.job);
     } else if (d.kind === "record") {
-      if (ownKey()) {
-        this.records.set(d.machine, d.record);
-        s.recorded(d.machine, d.record, instant(this.now));
-      } else s.recordFailed(d.machine);
+      const wrote = this.transact(
+        node,
+        (late) => this.keyIs(leaderStamp, late),
+        () => this.records.set(d.machine, d.record),
+      );
+      if (wrote === true) s.recorded(d.machine, d.record, instant(this.now));
+      else s.recordFailed(d.machine);
     } else if (d.kind === "rent") {
       const ids: string[] = [];
       for (let i = 0; i < d.rent.count && this.machinesUp() < 12; i++)
@@ -785,7 +991,11 @@
         this.later(
           this.on(node, () => {
             s.releaseAnswered(ids, true, instant(this.now));
-            if (ownKey()) for (const id of ids) this.records.delete(id);
+            this.transact(
+              node,
+              (late) => this.keyIs(leaderStamp, late),
+              () => ids.forEach((id) => this.records.delete(id)),
+            );
           }),
         );
       });
@@ -825,6 +1035,7 @@
       this.on(via, () => {
         if (!via.alive || via.incarnation !== incarnation) return;
         if (via.term?.token !== term.token || !this.entitled(via)) return settle("barred", null);
+        const sent = this.now;
         const reach = (): void => {
           if (w === undefined || w.gone || this.now < w.up) return;
           // hung, cut or deaf: the order waits, and is executed when that ends
@@ -838,14 +1049,22 @@
           }
           const done = this.execute(w, d.token, d.session, d.orders);
           const report = this.report(w);
-          this.later(() => settle(done ? "done" : "rejected", report));
+          if (done && this.now < w.muteUntil) this.count("orders carried out by mute machines");
+          if (done && this.now - sent > 2000 && d.orders.length > 0) this.count("orders carried out late");
+          this.later(() => settle(done ? "done" : "rejected", report), true, this.heldUp("answers held up"));
         };
-        this.later(reach);
+        this.later(reach, true, this.heldUp("orders held up"));
         this.messages.push({ at: this.now + 2000, run: () => settle("unknown", null) });
       }),
     );
   }
 
+  private heldUp(what: string): number {
+    if (this.heldOrders === 0 || this.extra() >= this.heldOrders) return 0;
+    this.count(what);
+    return 1000 + this.extra() * 7000;
+  }
+
   // --- rules --------------------------------------------------------------------------------------------
 
   private check(): void {
@@ -860,11 +1079,197 @@
         if (commit?.outcome === "cancelled" && late)
           this.broken.push({ rule: "ran_cancelled", text: `${t.job}/${t.index} on ${w.id} at ${this.now}` });
       }
+    if (this.calm && this.now % 1000 === 0) this.checkIdleRoom(usage);
     for (const team of TEAMS)
       if (team.cpusMax > 0 && (usage.get(team.name) ?? 0) > team.cpusMax)
         this.broken.push({ rule: "quota", text: `${team.name}: ${usage.get(team.name)} at ${this.now}` });
   }
 
+  /** Once all is over: a job waits though a machine that fits has room and its team is under its limit. */
+  private checkIdleRoom(usage: ReadonlyMap<string, number>): void {
+    for (const { spec } of this.jobs.values()) {
+      const used = usage.get(spec.team) ?? 0;
+      const limit = TEAMS.find((t) => t.name === spec.team)!.cpusMax;
+      let waits = false;
+      for (let n = 0; n < spec.tasks && !waits; n++)
+        waits = !(this.completed.get(spec.id)?.has(n) ?? false) && this.holders(spec.id, n).length === 0;
+      const room = (): boolean => {
+        const zones = new Set(this.onMachines(spec.id).map((x) => x.record.zone));
+        return [...this.workers.values()].some((w) => {
+          if (w.gone || this.now < w.up) return false;
+          const r = w.record;
+          let free = w.cpus;
+          for (const t of w.tasks.values()) if (t.state !== "exited") free -= this.allJobs.get(t.job)!.cpus;
+          return (
+            free >= spec.cpus &&
+            (spec.types?.includes(r.type) ?? true) &&
+            (spec.zone === null || spec.zone === r.zone) &&
+            (spec.spot || !r.spot) &&
+            (!spec.oneZone || [...zones].every((z) => z === r.zone))
+          );
+        });
+      };
+      if (!waits || (limit > 0 && used + spec.cpus > limit) || !room()) {
+        this.idleRoom.delete(spec.id);
+        continue;
+      }
+      const since = this.idleRoom.get(spec.id) ?? this.now;
+      this.idleRoom.set(spec.id, since);
+      if (this.now - since > 90_000)
+        this.broken.push({ rule: "idle_room", text: `${spec.id} at ${this.now}` });
+    }
+  }
+
+  // --- scripts ------------------------------------------------------------------------------------------
+
+  /** Jobs of one kind; `lasts`: how long each of the tasks runs. */
+  submit(count: number, change: Partial<JobSpec>, lasts?: readonly number[]): string[] {
+    const ids: string[] = [];
+    for (let i = 0; i < count; i++) {
+      const id = `req-${String(this.nextJob++).padStart(6, "0")}`;
+      const spec: JobSpec = {
+        id,
+        className: "array",
+        team: "blue",
+        kind: "array",
+        priority: "normal",
+        tasks: 2,
+        cpus: 2,
+        gpus: 0,
+        memoryGb: 2,
+        image: "a",
+        imageGb: 1,
+        types: null,
+        zone: null,
+        oneZone: false,
+        spread: false,
+        spot: false,
+        estimate: Duration.seconds(5),
+        checkpoint: Duration.zero,
+        save: Duration.zero,
+        deadline: null,
+        ...change,
+      };
+      if (lasts !== undefined) this.lasts.set(id, lasts);
+      this.accept(spec);
+      ids.push(id);
+    }
+    return ids;
+  }
+
+  wait(ms: number): this {
+    return this.run(this.now + ms);
+  }
+  /** Goes on until this is so, or so long at the most; says whether it is. */
+  until(so: () => boolean, most: number): boolean {
+    const end = this.now + most;
+    while (!so() && this.now < end && this.broken.length === 0) this.step();
+    return so();
+  }
+
+  private leads(): Node | undefined {
+    return this.nodes.find(
+      (n) => n.alive && n.scheduler !== null && n.term?.leader === n.name && this.entitled(n),
+    );
+  }
+  /** Whether somebody leads who can act. */
+  led(): boolean {
+    return this.leads() !== undefined;
+  }
+  private end(node: Node, away: number): void {
+    Object.assign(node, this.newNode(node.name, node.zone), { alive: false, back: this.now + away });
+  }
+  /** The process of the leader ends and is back after `away`; says whether there was one. */
+  endLeader(away: number): boolean {
+    const node = this.nodes.find((n) => n.alive && n.name === this.leader?.name);
+    if (node === undefined) return false;
+    if (this.now < this.stateDownUntil) this.count("leaders ended inside an outage");
+    this.count("leaders ended");
+    this.end(node, away);
+    return true;
+  }
+  /** All processes end; the one with this number is back after `first`, the others after `rest`. */
+  endAll(which: number, first: number, rest: number): void {
+    for (const [i, node] of this.nodes.entries()) this.end(node, i === which ? first : rest);
+  }
+  outage(ms: number): this {
+    this.stateOutage(ms);
+    return this;
+  }
+  /** The state service refuses the leader alone; `peers`: the other controllers can't be reached by it either. */
+  cutLeader(ms: number, peers: boolean): string | null {
+    const node = this.leads();
+    if (node === undefined) return null;
+    if (peers) node.aloneUntil = this.now + ms;
+    else node.stateCutUntil = this.now + ms;
+    return node.name;
+  }
+
+  /** A trouble of machines that hold tasks (of these jobs, if named), at most `most`; says of how many. */
+  strike(trouble: MachineTrouble, ms: number, most: number, jobs?: readonly string[]): number {
+    let n = 0;
+    for (const w of this.workers.values()) {
+      const live = [...w.tasks.values()].filter((t) => t.state !== "exited");
+      if (n >= most || w.gone || !live.some((t) => jobs?.includes(t.job) ?? true)) continue;
+      w[`${trouble}Until`] = this.now + ms;
+      n++;
+    }
+    return n;
+  }
+  /** Machines with tasks of these jobs die. */
+  killSome(most: number, jobs: readonly string[]): number {
+    const on = new Set(jobs.flatMap((id) => this.onMachines(id)));
+    const dying = [...on].slice(0, most);
+    for (const w of dying) this.kill(w);
+    return dying.length;
+  }
+  /** How many tasks of these jobs are on machines; how many of their jobs' tasks have completed. */
+  running(jobs: readonly string[] = [...this.jobs.keys()]): number {
+    let n = 0;
+    for (const w of this.workers.values())
+      for (const t of w.tasks.values()) if (t.state !== "exited" && jobs.includes(t.job)) n++;
+    return n;
+  }
+  finished(jobs: readonly string[]): number {
+    return jobs.reduce((sum, id) => sum + (this.completed.get(id)?.size ?? 0), 0);
+  }
+  outcome(id: string): "done" | "cancelled" | null {
+    return this.commits.get(id)?.outcome ?? null;
+  }
+  open(): string[] {
+    return [...this.jobs.keys()];
+  }
+  /** What this team has on machines, and how many tasks no leader could place. */
+  usageOf(team: string): number {
+    let sum = 0;
+    for (const w of this.workers.values())
+      for (const t of w.tasks.values()) {
+        const spec = this.allJobs.get(t.job)!;
+        if (t.state !== "exited" && spec.team === team) sum += spec.cpus;
+      }
+    return sum;
+  }
+  waiting(): number {
+    let sum = 0;
+    for (const job of this.leads()?.scheduler?.cluster.waiting ?? []) sum += job.pending.size;
+    return sum;
+  }
+  /** The reports that all machines with tasks send now are held back; they arrive at whoever leads when it is called. */
+  holdReports(): () => number {
+    const held: [Worker, WorkerReport][] = [];
+    for (const w of this.workers.values())
+      if (!w.gone && this.now >= w.up && w.tasks.size > 0) held.push([w, this.report(w)]);
+    return () => {
+      const node = this.leads();
+      if (node === undefined) return 0;
+      for (const [w, report] of held) this.deliverCopy(w, report, this.now, node);
+      return held.length;
+    };
+  }
+  note(what: string, n = 1): void {
+    this.count(what, n);
+  }
+
   /** A zone with workers and a controller is cut off, while the cloud releases nothing: only time is proof. */
   cutZone(zone: string, ms: number): this {
     this.zoneCutUntil.set(zone, this.now + ms);
@@ -898,6 +1303,13 @@
   /** No more troubles, and no more jobs: what was accepted has to run. */
   calmDown(): this {
     this.rough = 0;
+    this.calm = true;
+    this.lateWrites = 0;
+    this.lateReports = 0;
+    this.heldOrders = 0;
+    this.cancelsAtEnd = 0;
+    this.slowLinksMs = 0;
+    this.slowStateMs = 0;
     this.stateDownUntil = 0;
     this.cloudDownUntil = 0;
     this.zoneCutUntil.clear();
@@ -911,6 +1323,7 @@
       w.hungUntil = 0;
       w.cutUntil = 0;
       w.deafUntil = 0;
+      w.muteUntil = 0;
     }
     return this;
   }
