--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -72,7 +72,13 @@
         w.until(() => w.leaders > leaders, 8000);
       }
     },
-    met: { "late writes after newer ones": 300, "late writes refused": 100, "leaders ended": 50 },
+    met: {
+      "late writes after newer ones": 300,
+      "late writes refused": 100,
+      "leaders ended": 50,
+      "rentals carried out late": 24,
+      "releases carried out late": 12,
+    },
     guards: [
       ["absent", ["went_back"]],
       // an earlier leader's term overwrites the present one, and nobody acts any more
--- a/test/model.ts
+++ b/test/model.ts
@@ -296,6 +296,16 @@
     };
     this.messages.push({ at: this.now + 2000 + this.extra() * 10_000, run });
   }
+  /** Requests to the cloud may be carried out late too, when whoever sent them has long given up. */
+  private delayed(what: string, run: () => void): boolean {
+    if (this.lateWrites === 0 || this.extra() >= this.lateWrites) return false;
+    const late = (): void => {
+      this.count(what);
+      run();
+    };
+    this.messages.push({ at: this.now + 2000 + this.extra() * 10_000, run: late });
+    return true;
+  }
   /** Conditions of a transaction: the leader's key still has this stamp; the job has no commit yet. */
   private keyIs(stamp: number, late: boolean): boolean {
     return (late && this.without === "stamp") || this.leader?.stamp === stamp;
@@ -975,9 +985,15 @@
       if (wrote === true) s.recorded(d.machine, d.record, instant(this.now));
       else s.recordFailed(d.machine);
     } else if (d.kind === "rent") {
-      const ids: string[] = [];
-      for (let i = 0; i < d.rent.count && this.machinesUp() < 12; i++)
-        ids.push(this.addMachine(d.rent.type.name, d.rent.zone, d.rent.spot));
+      const rent = (): string[] => {
+        const ids: string[] = [];
+        for (let i = 0; i < d.rent.count && this.machinesUp() < 12; i++)
+          ids.push(this.addMachine(d.rent.type.name, d.rent.zone, d.rent.spot));
+        return ids;
+      };
+      // no answer, and carried out much later: machines that nobody expects
+      if (this.delayed("rentals carried out late", rent)) return;
+      const ids = rent();
       const record = { type: d.rent.type.name, zone: d.rent.zone, spot: d.rent.spot, count: d.rent.count };
       // a leader that dies now leaves machines that nobody recorded: the list shows them to the next one
       if (ownKey()) s.rentalAnswered("", record, ids, instant(this.now));
@@ -985,12 +1001,16 @@
       // the cloud may be slow, and its answer may be lost
       const ids = d.machines;
       const down = this.now < this.cloudDownUntil;
-      this.later(() => {
-        if (down) return this.on(node, () => s.releaseAnswered(ids, false, instant(this.now)))();
+      const release = (): void => {
         for (const id of ids) {
           const w = this.workers.get(id);
           if (w !== undefined) this.kill(w);
         }
+      };
+      if (this.delayed("releases carried out late", release)) return;
+      this.later(() => {
+        if (down) return this.on(node, () => s.releaseAnswered(ids, false, instant(this.now)))();
+        release();
         this.later(
           this.on(node, () => {
             s.releaseAnswered(ids, true, instant(this.now));
