A leader's key that was written late is known to its own process

Creating the key may get no answer and be carried out after the reread. The process then saw a key in its place and didn't try again, while its renewals kept the key alive: nobody could lead until that process ended. It now knows the key by its lease. The new test failed before.

--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -232,8 +232,16 @@
   /** Tries to become the leader when there is none. */
   readonly tryLead = Effect.gen(this, function* () {
     const permit = this.permit;
-    if (permit === null || this.leadership !== null || !this.synced || this.rows.has(keys.leader))
-      return false;
+    if (permit === null || this.leadership !== null || !this.synced) return false;
+    const held = this.rows.get(keys.leader);
+    if (held !== undefined) {
+      // a write without an answer may be carried out after the reread: then the key is this process's all the same, and
+      // as long as its lease lives nobody else can lead
+      if ((held.value as LeaderRecord).permit !== permit) return false;
+      this.leadership = { stamp: held.stamp, permit };
+      this.log.info({ stamp: held.stamp }, "holds the leader's key, which was written late");
+      return true;
+    }
     const record: LeaderRecord = { member: this.me, permit };
     const result = yield* this.state
       .commit([{ key: keys.leader, stamp: 0 }], [{ put: keys.leader, value: record, permit }])
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -4,7 +4,7 @@
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
-import { keys, type MemberRecord } from "../src/core/records.js";
+import { keys, type LeaderRecord, type MemberRecord } from "../src/core/records.js";
 import { spansOf } from "../src/core/term.js";
 import { now } from "../src/io/clock.js";
 import { makeLog } from "../src/io/log.js";
@@ -58,6 +58,36 @@
   }
 });
 
+test("a leader's key that was written late, after the answer was given up, is this process's all the same", async () => {
+  const spans = spansOf({ leaseS: 10, reportS: 1, cancelS: 30 }, Duration.seconds(1));
+  const member = new Membership("two", "east", spans, state, log, [], () => Effect.succeed(true), now);
+  const running = Effect.runFork(member.run);
+  const tryLead = (): Promise<boolean> =>
+    Effect.runPromise(Effect.orElseSucceed(member.tryLead, () => false));
+  const key = keys.leader;
+  try {
+    await until("it joined", () => member.permit !== null);
+    // another process's key is no reason to lead, also if the process has the same name
+    const other = await Effect.runPromise(state.grant(Duration.seconds(600)));
+    standIn.put(key, { member: "two", permit: other } satisfies LeaderRecord, other);
+    assert.equal(await tryLead(), false);
+    await Effect.runPromise(state.revoke(other));
+    // its own write is carried out now: as long as it renews the lease, nobody else can lead
+    const permit = member.permit!;
+    standIn.put(key, { member: "two", permit } satisfies LeaderRecord, permit);
+    const { stamp } = standIn.rows.get(key)!;
+    let leads = false;
+    for (let i = 0; i < 100 && !leads; i++) {
+      leads = await tryLead();
+      await new Promise((done) => setTimeout(done, 25));
+    }
+    assert.equal(leads, true);
+    assert.deepEqual(member.leadership, { stamp, permit });
+  } finally {
+    await Effect.runPromise(Fiber.interrupt(running));
+  }
+});
+
 test("a question that was put off goes before others the next time", async () => {
   const asked: string[][] = [];
   let refuse = true;
