--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -134,7 +134,11 @@
         w.wait(4000);
       }
     },
-    met: { "copies after newer ones": 400, "copies from an earlier session": 80 },
+    met: {
+      "copies after newer ones": 400,
+      "copies from an earlier session": 80,
+      "copies with an earlier attempt": 15,
+    },
     guards: [
       ["seq", ["ran_twice"]],
       ["session", ["ran_twice"]],
--- a/test/model.ts
+++ b/test/model.ts
@@ -641,6 +641,7 @@
       if (!node.alive) return;
       const earlier = report.session < w.session;
       this.count(earlier ? "copies from an earlier session" : "copies after newer ones");
+      if (this.isOutlived(report)) this.count("copies with an earlier attempt");
       // without the guard the copy counts as new
       const believed = this.without === (earlier ? "session" : "seq");
       this.beat(node, believed ? { ...report, session: w.session, seq: ++w.seq, token: w.token } : report);
@@ -648,6 +649,18 @@
     this.messages.push({ at, run });
   }
 
+  /** Whether a task that it shows runs under a later attempt by now. */
+  private isOutlived(report: WorkerReport): boolean {
+    const live = [...this.workers.values()].flatMap((w) => [...w.tasks.values()]);
+    return report.tasks.some(
+      (t) =>
+        t.state !== "exited" &&
+        live.some(
+          (u) => u.state !== "exited" && u.job === t.job && u.index === t.index && u.attempt > t.attempt,
+        ),
+    );
+  }
+
   /** What a node was told by the state service, it knows for as long as it lives. */
   private beat(node: Node, report: WorkerReport): BeatAnswer {
     const isOver = (job: string): boolean => {
