--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -281,14 +281,20 @@
       leader: this.me,
       members,
     };
-    this.beginning = Math.max(this.beginning, term.token);
-    const result = yield* this.state.commit(
-      [
-        { key: keys.leader, stamp: leadership.stamp },
-        { key: keys.term, stamp: row?.stamp ?? 0 },
-      ],
-      [{ put: keys.term, value: term }],
-    );
+    const before = this.beginning;
+    this.beginning = Math.max(before, term.token);
+    // what certainly wasn't written is no term: others must not be refused this node's word for it
+    const notBegun = Effect.sync(() => (this.beginning = before));
+    const result = yield* this.state
+      .commit(
+        [
+          { key: keys.leader, stamp: leadership.stamp },
+          { key: keys.term, stamp: row?.stamp ?? 0 },
+        ],
+        [{ put: keys.term, value: term }],
+      )
+      .pipe(Effect.tapErrorTag("Unavailable", () => notBegun));
+    if (result.ok !== true) yield* notBegun;
     if (result.ok === true) {
       this.setTerm({ key: keys.term, value: term, stamp: result.revision });
       return true;
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -123,6 +123,7 @@
   {
     name: "an old report arrives after newer ones, also from an earlier session or attempt",
     rough: 1.5,
+    seeds: 24,
     play: (w) => {
       w.lateReports = 0.15;
       for (let i = 0; i < 5; i++) {
