Priority and deadline flow back from waiting jobs to the jobs that they need

A user sets both on the last job of a pipeline only. Pipelines keeps, for every unfinished job, the highest rank among the jobs that need it and the moment by which it has to be done for them; the queue, preemption, victims and the expected arrivals go by these.

The count of tasks by rank stays by their own priority: an inherited rank is never below it, so the quick check before a search for victims errs on the side of searching.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -2,7 +2,7 @@
  * The leader's picture: jobs, machines, and which task may be where. Its indices are kept in step by the functions
  * here, so that a decision looks only at what changed or what waits; the tests check each against a recount.
  */
-import { type Instant } from "./time.js";
+import { type Instant, plus } from "./time.js";
 import { FreeMachines } from "./free.js";
 import { RangeSet } from "./ranges.js";
 import { type JobSpec, type MachineRecord, RANK, type TaskState, type Why } from "./records.js";
@@ -31,7 +31,9 @@
 
 export interface Job {
   readonly spec: JobSpec;
-  /** When it was accepted. */
+  /** When it was accepted: its deadline counts from there. */
+  readonly accepted: Instant;
+  /** When it could first start, all that it awaits being done: ages and patience count from there. */
   readonly seen: Instant;
   /** Revision of the job record: a job younger than the leader's own key was never in an older leader's hands. */
   readonly stamp: number;
@@ -49,6 +51,10 @@
   committing: boolean;
   /** Tasks that run or save right now. */
   running: number;
+  /** The highest rank of the job itself and of the unfinished jobs that need it. */
+  rank: number;
+  /** When it has to be done: for its own sake, or for the jobs that need it. */
+  due: Instant | null;
 }
 
 export interface Machine {
@@ -127,7 +133,10 @@
   /** Tasks whose job record isn't known, by job, and their machines. */
   readonly strays: Map<string, Set<Hold>>;
   readonly strayOn: Map<Machine, number>;
-  /** How many tasks of each class are, or may be, on machines; the same by rank. */
+  /**
+   * How many tasks of each class are, or may be, on machines; the same by their own rank, which no inherited one is
+   * below: where nothing is low by this count, nothing is.
+   */
   readonly classes: Map<string, number>;
   readonly ranks: number[];
   /** The latest starts, oldest first: what was started last costs the least to stop. */
@@ -213,6 +222,10 @@
 /** Whether a hold takes room on its machine, and of its team's limit. */
 export const occupies = (hold: Hold): boolean => hold.state !== "exited" || hold.doubt !== null;
 
+/** How important a task's job is; the task's own priority where the job is no longer known. */
+export const rankOf = (cluster: Cluster, hold: Hold & { readonly spec: JobSpec }): number =>
+  cluster.jobs.get(hold.job)?.rank ?? RANK[hold.spec.priority];
+
 const runs = (hold: Hold): boolean => hold.state === "running" || hold.state === "saving";
 
 // --- machines ---------------------------------------------------------------------------------------------
@@ -288,11 +301,18 @@
 
 // --- jobs -------------------------------------------------------------------------------------------------
 
-export const addJob = (cluster: Cluster, spec: JobSpec, seen: Instant, stamp: number): Job => {
+export const addJob = (
+  cluster: Cluster,
+  spec: JobSpec,
+  stamp: number,
+  accepted: Instant,
+  seen: Instant = accepted,
+): Job => {
   const pending = new RangeSet();
   pending.add(0, spec.tasks);
   const job: Job = {
     spec,
+    accepted,
     seen,
     stamp,
     done: new RangeSet(),
@@ -304,6 +324,8 @@
     retryAt: null,
     committing: false,
     running: 0,
+    rank: RANK[spec.priority],
+    due: spec.deadline === null ? null : plus(accepted, spec.deadline),
   };
   // adopt tasks that machines reported before the record was read
   const strays = [...(cluster.strays.get(spec.id) ?? [])];
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -4,7 +4,7 @@
 import { allowsType, allowsZone } from "./admission.js";
 import type { Cluster, Job, Machine } from "./cluster.js";
 import { occupies } from "./cluster.js";
-import type { JobSpec, MachineType } from "./records.js";
+import { type JobSpec, type MachineType, RANK } from "./records.js";
 import { allowed, freeRoom, type Room, slots, takeRoom } from "./placement.js";
 
 export interface Offer {
@@ -39,7 +39,7 @@
   private refusedUntil = new Map<string, Instant>();
   /** Rentals asked for but not yet answered, by rental name. */
   readonly asked = new Map<string, { offer: Offer; count: number; at: Instant }>();
-  private arrivals: { at: Instant; spec: JobSpec }[] = [];
+  private arrivals: { at: Instant; job: Job }[] = [];
 
   constructor(private readonly options: FleetOptions) {}
 
@@ -47,8 +47,8 @@
     this.refusedUntil.set(key, plus(now, REFUSED_FOR));
   }
 
-  arrived(spec: JobSpec, now: Instant): void {
-    this.arrivals.push({ at: now, spec });
+  arrived(job: Job): void {
+    this.arrivals.push({ at: job.seen, job });
     if (this.arrivals.length > 2000) this.arrivals.splice(0, 1000);
   }
 
@@ -147,8 +147,9 @@
     const window = Duration.seconds(45);
     this.arrivals = this.arrivals.filter((a) => !passed(now, a.at, window));
     const byClass = new Map<string, { spec: JobSpec; tasks: number }>();
-    for (const { spec } of this.arrivals) {
-      if (spec.priority === "low") continue;
+    for (const { job } of this.arrivals) {
+      const { spec, rank } = job;
+      if (rank === RANK.low) continue;
       const row = byClass.get(spec.className);
       if (row === undefined) byClass.set(spec.className, { spec, tasks: spec.tasks });
       else row.tasks += spec.tasks;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -2,8 +2,8 @@
 import * as Duration from "effect/Duration";
 import { type Instant, passed } from "./time.js";
 import { allowsZone } from "./admission.js";
-import { type Cluster, type Hold, type Job, type Machine, occupies } from "./cluster.js";
-import { type JobSpec, RANK } from "./records.js";
+import { type Cluster, type Hold, type Job, type Machine, occupies, rankOf } from "./cluster.js";
+import type { JobSpec } from "./records.js";
 
 export interface Room {
   cpus: number;
@@ -214,13 +214,16 @@
   return out;
 };
 
+export type KnownHold = Hold & { readonly spec: JobSpec };
+const isKnown = (hold: Hold): hold is KnownHold => hold.spec !== null;
+
 /** The cheapest set of tasks on one machine whose end makes room for one task of `job`. */
 export const victims = (
   cluster: Cluster,
   job: Job,
   candidates: Iterable<Machine>,
   now: Instant,
-  mayStop: (hold: Hold) => boolean,
+  mayStop: (hold: KnownHold) => boolean,
 ): { machine: Machine; holds: Hold[] } | null => {
   let best: { machine: Machine; holds: Hold[]; cost: number } | null = null;
   const zoneAllows = zoneRule(cluster, job);
@@ -228,17 +231,18 @@
     if (!allowed(job.spec, machine) || !zoneAllows(machine.zone)) continue;
     const room = freeRoom(machine);
     const options = [...machine.holds.values()]
-      .filter((h) => h.spec !== null && occupies(h) && !h.stopping && h.doubt === null && mayStop(h))
-      .sort((a, b) => RANK[a.spec!.priority] - RANK[b.spec!.priority] || b.since - a.since);
+      .filter(isKnown)
+      .filter((h) => occupies(h) && !h.stopping && h.doubt === null && mayStop(h))
+      .sort((a, b) => rankOf(cluster, a) - rankOf(cluster, b) || b.since - a.since);
     const chosen: Hold[] = [];
     let cost = machine.images.has(job.spec.image) ? 0 : 20;
     for (const hold of options) {
       if (fits(job.spec, room)) break;
       chosen.push(hold);
-      room.cpus += hold.spec!.cpus;
-      room.gpus += hold.spec!.gpus;
-      room.memoryGb += hold.spec!.memoryGb;
-      cost += (hold.spec!.cpus * Math.max(1, now - hold.since)) / 1000;
+      room.cpus += hold.spec.cpus;
+      room.gpus += hold.spec.gpus;
+      room.memoryGb += hold.spec.memoryGb;
+      cost += (hold.spec.cpus * Math.max(1, now - hold.since)) / 1000;
     }
     if (chosen.length > 0 && fits(job.spec, room) && (best === null || cost < best.cost))
       best = { machine, holds: chosen, cost };
--- a/src/core/placer.ts
+++ b/src/core/placer.ts
@@ -1,8 +1,19 @@
 /** Which waiting task starts next, where, and what is stopped for it. */
 import * as Duration from "effect/Duration";
-import { addHold, type Hold, type Job, type Machine, occupies, removeHold } from "./cluster.js";
+import { addHold, type Hold, type Job, type Machine, occupies, rankOf, removeHold } from "./cluster.js";
 import { Outbox } from "./outbox.js";
-import { allowed, choose, fill, freeRoom, noEasier, slots, victims, zoned } from "./placement.js";
+import { timeFor } from "./pipelines.js";
+import {
+  allowed,
+  choose,
+  fill,
+  freeRoom,
+  type KnownHold,
+  noEasier,
+  slots,
+  victims,
+  zoned,
+} from "./placement.js";
 import { fitsGuarantee, fitsLimit, roomInLimit, type Usage } from "./quota.js";
 import { type JobSpec, RANK, type Team } from "./records.js";
 import type { Scope } from "./scope.js";
@@ -14,9 +25,6 @@
 const GANG_PATIENCE = Duration.seconds(15);
 /** A job that waited this long without a single start goes before others of its kind and above. */
 const LONG_WAIT = Duration.seconds(100);
-/** How much longer than estimated a job's longest task may run; and what its place in the queue and its image take. */
-const LONGEST_TASK = 1.5;
-const START_TAKES = Duration.seconds(15);
 const HELD_UP = Duration.seconds(40);
 /** Without news, what didn't fit is tried again this often: machines' reports grow old, errors are forgiven. */
 const TRY_AGAIN = Duration.millis(500);
@@ -60,11 +68,9 @@
     }
     const waiting = [...cluster.waiting];
     this.heldUp = waiting.some(
-      (j) =>
-        RANK[j.spec.priority] > RANK.low && j.holds.size + j.done.size === 0 && passed(now, j.seen, HELD_UP),
+      (j) => j.rank > RANK.low && j.holds.size + j.done.size === 0 && passed(now, j.seen, HELD_UP),
     );
-    const rank = (j: Job): number =>
-      RANK[j.spec.priority] + (this.longWaiting(j, now) || this.hurries(j, now) ? 1 : 0);
+    const rank = (j: Job): number => j.rank + (this.longWaiting(j, now) || this.hurries(j, now) ? 1 : 0);
     const first = (j: Job): number => (this.guaranteed.has(j) ? 1 : 0);
     return waiting
       .filter((j) => j.retryAt === null || now >= j.retryAt)
@@ -79,11 +85,8 @@
 
   /** Started now it can just be done by its deadline: waiting behind what has no deadline would be for nothing. */
   private hurries(job: Job, now: Instant): boolean {
-    const { deadline, estimate } = job.spec;
-    if (deadline === null || this.heldUp) return false;
-    const age = now - job.seen;
-    const needs = Duration.toMillis(estimate) * LONGEST_TASK + Duration.toMillis(START_TAKES);
-    return age < Duration.toMillis(deadline) && age + needs >= Duration.toMillis(deadline);
+    const { due, spec } = job;
+    return due !== null && !this.heldUp && now < due && plus(now, timeFor(spec)) >= due;
   }
 
   /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
@@ -144,12 +147,12 @@
       return { cpus: seen.cpus + unseen.cpus, gpus: seen.gpus + unseen.gpus };
     };
     const failed: JobSpec[] = [];
-    const nothingToStop: JobSpec[] = [];
+    const nothingToStop: Job[] = [];
     let budget = MAX_STARTS_PER_STEP;
     let heldBack = -1;
     for (const job of queue) {
       if (budget <= 0) break;
-      if (RANK[job.spec.priority] <= heldBack && !this.guaranteed.has(job)) continue;
+      if (job.rank <= heldBack && !this.guaranteed.has(job)) continue;
       const { spec } = job;
       const team = options.teams.get(spec.team);
       if (team === undefined || this.isBlocked(job)) continue;
@@ -158,7 +161,7 @@
         budget -= placed;
         // smaller jobs would take every place that gets free: after a while they are held back for the gang
         if (placed === 0 && passed(now, job.seen, GANG_PATIENCE) && this.couldHold(job, now))
-          heldBack = RANK[spec.priority];
+          heldBack = job.rank;
         continue;
       }
       // a job that fails everywhere is tried one task at a time
@@ -178,9 +181,8 @@
       if (job.errorsOn.size + job.refusedOn.size === 0 && !zoned(spec)) failed.push(spec);
       // with hundreds of jobs waiting, what can't be had for one isn't looked for again for its like in the same step
       const plain = !this.guaranteed.has(job) && !zoned(spec);
-      const rank = RANK[spec.priority];
-      if (plain && nothingToStop.some((f) => RANK[f.priority] >= rank && noEasier(spec, f))) continue;
-      if (!this.makeRoom(job, now, outbox, notes) && plain) nothingToStop.push(spec);
+      if (plain && nothingToStop.some((f) => f.rank >= job.rank && noEasier(spec, f.spec))) continue;
+      if (!this.makeRoom(job, now, outbox, notes) && plain) nothingToStop.push(job);
     }
   }
 
@@ -339,7 +341,7 @@
     const until = this.makingRoom.get(job.spec.id);
     if (until !== undefined && now < until) return true;
     const { cluster } = this.scope;
-    const rank = RANK[job.spec.priority];
+    const { rank } = job;
     const lower = cluster.ranks.some((n, r) => r < rank && n > 0);
     const borrowed = this.guaranteed.has(job) && this.someoneBorrows(job.spec.team);
     if (!lower && !borrowed) return false;
@@ -378,15 +380,16 @@
     outbox: Outbox,
     notes: string[],
   ): boolean {
-    const rank = RANK[job.spec.priority];
+    const { rank } = job;
     const guaranteed = this.guaranteed.has(job);
-    const mayStop = (hold: Hold): boolean => {
-      const spec = hold.spec!;
+    const mayStop = (hold: KnownHold): boolean => {
+      const { spec } = hold;
       if (spec.kind === "gang") return false;
       const owner = this.scope.cluster.jobs.get(hold.job);
       if (rank < RANK.production && owner !== undefined && this.hurries(owner, now)) return false;
       // below production, room made a little sooner isn't worth work that has run for a while
-      if (RANK[spec.priority] < rank && (rank === RANK.production || !losesWork(hold, now))) return true;
+      if (rankOf(this.scope.cluster, hold) < rank && (rank === RANK.production || !losesWork(hold, now)))
+        return true;
       if (!guaranteed || spec.team === job.spec.team || spec.kind === "service") return false;
       const other = this.scope.options.teams.get(spec.team);
       const usage = this.scope.usageOf(spec.team);
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -26,7 +26,10 @@
   readonly estimate: Duration.Duration;
   readonly checkpoint: Duration.Duration;
   readonly save: Duration.Duration;
+  /** Counts from the submission, also for a job that waits for others. */
   readonly deadline: Duration.Duration | null;
+  /** Jobs that have to be done before any task of this one starts. */
+  readonly awaits: readonly string[];
 }
 
 export type Outcome = "done" | "cancelled";
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -29,6 +29,7 @@
 import { Fleet, offerKey, type Rent } from "./fleet.js";
 import { Outbox } from "./outbox.js";
 import { Pace } from "./pace.js";
+import { Pipelines } from "./pipelines.js";
 import { Placer, suspect } from "./placer.js";
 import { Proof } from "./proof.js";
 import { roomInLimit } from "./quota.js";
@@ -88,6 +89,9 @@
   private readonly pace: Pace;
   private readonly tidy: Tidy;
   private readonly returns: Returns;
+  private readonly pipelines = new Pipelines();
+  /** Jobs that wait for others. */
+  private readonly awaiting = new Set<string>();
   private released = new Set<string>();
   /** Machines whose orders could not be sent, and until when nothing is decided for them. */
   private readonly heldOff = new Map<Machine, Instant>();
@@ -135,18 +139,61 @@
 
   // --- jobs -------------------------------------------------------------------------------------------
 
-  /** `accepted`: its age counts from there, under whatever leader. */
-  jobSeen(spec: JobSpec, stamp: number, accepted: Instant): void {
+  /** `accepted` and `released`: deadline and age count from there, under whatever leader. */
+  jobSeen(spec: JobSpec, stamp: number, accepted: Instant, released: Instant = accepted): void {
     if (this.cluster.jobs.has(spec.id)) return;
-    const job = addJob(this.cluster, spec, accepted, stamp);
+    const job = addJob(this.cluster, spec, stamp, accepted, released);
+    this.awaiting.delete(spec.id);
+    this.pipelines.add(spec, accepted);
+    job.rank = this.pipelines.rank(spec.id)!;
+    job.due = this.pipelines.due(spec.id);
+    this.passOn();
     for (const [index, holds] of job.holds) if (holds.some((h) => h.why === "done")) this.done(job, index);
-    this.fleet.arrived(spec, accepted);
+    this.fleet.arrived(job);
+  }
+
+  /** A job that waits for others: it counts only for the jobs that it needs. */
+  waitingSeen(spec: JobSpec, accepted: Instant): void {
+    if (this.cluster.jobs.has(spec.id)) return;
+    this.awaiting.add(spec.id);
+    this.pipelines.add(spec, accepted);
+    this.passOn();
+  }
+
+  /** It waits no longer: released (the order of this and `jobSeen` doesn't matter) or cancelled. */
+  waitingOver(id: string): void {
+    if (!this.awaiting.delete(id)) return;
+    this.pipelines.remove(id);
+    this.passOn();
+  }
+
+  /** Jobs known to wait for others. */
+  get awaitingJobs(): ReadonlySet<string> {
+    return this.awaiting;
+  }
+
+  /** Gives released jobs what has flowed back to them. */
+  private passOn(): void {
+    for (const id of this.pipelines.takeChanged()) {
+      const job = this.cluster.jobs.get(id);
+      const rank = this.pipelines.rank(id);
+      if (job === undefined || rank === null) continue;
+      const due = this.pipelines.due(id);
+      if (job.rank === rank && job.due === due) continue;
+      job.rank = rank;
+      job.due = due;
+      // the queue's order, and what may be stopped for whom
+      this.cluster.chances++;
+    }
   }
 
   /** The job record is gone: there is a commit, done or cancelled, and nothing of it may start again. */
   jobOver(id: string): void {
     const job = this.cluster.jobs.get(id);
     if (job !== undefined) dropJob(this.cluster, job);
+    this.awaiting.delete(id);
+    this.pipelines.remove(id);
+    this.passOn();
     this.placer.jobOver(id);
     this.pace.jobOver(id);
   }
--- a/src/io/codec.ts
+++ b/src/io/codec.ts
@@ -39,6 +39,7 @@
   bookmark_s?: number | null;
   stash_s?: number | null;
   due_s?: number | null;
+  awaits?: string[] | null;
 }
 
 const KINDS: Record<WireJob["shape"], Kind> = { array: "array", ensemble: "gang", daemon: "service" };
@@ -97,6 +98,7 @@
   checkpoint: Duration.seconds(w.bookmark_s ?? 0),
   save: Duration.seconds(w.stash_s ?? 0),
   deadline: w.due_s == null ? null : Duration.seconds(w.due_s),
+  awaits: w.awaits ?? [],
 });
 
 /** What the accepting node writes: with the time of day, so that a leader's take-over makes no job young again. */
--- a/test/model.ts
+++ b/test/model.ts
@@ -464,6 +464,7 @@
         checkpoint: Duration.zero,
         save: Duration.zero,
         deadline: null,
+        awaits: [],
       };
       this.accept(spec);
     }
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -51,6 +51,7 @@
   checkpoint: Duration.zero,
   save: Duration.zero,
   deadline: null,
+  awaits: [],
   ...more,
 });
 
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -30,6 +30,7 @@
   checkpoint: Duration.zero,
   save: Duration.zero,
   deadline: null,
+  awaits: [],
   ...more,
 });
 
