Pipelines: an event raises what is before it edge by edge; tests

A new job no longer has its parents look at all their children again, and the end of one among many of the same sort ends the search at the first that asks as much.

--- a/src/core/pipelines.ts
+++ b/src/core/pipelines.ts
@@ -81,9 +81,11 @@
     const known = this.nodes.get(spec.id);
     if (known !== undefined) {
       if (known.ownDue === ownDue) return;
+      const sooner = ownDue !== null && (known.ownDue === null || ownDue < known.ownDue);
       known.ownDue = ownDue;
       this.changed.add(known.id);
-      this.upwards(known.parents);
+      if (sooner) this.raised(known);
+      else this.eased(known.parents);
       return;
     }
     const node: Node = {
@@ -106,8 +108,11 @@
       if (siblings === undefined) this.children.set(parent, new Set([node]));
       else siblings.add(node);
     }
-    this.recompute(node);
-    this.upwards(node.parents);
+    for (const child of this.children.get(node.id) ?? []) {
+      this.visits++;
+      this.set(node, Math.max(node.rank, child.rank), earlier(node.inner, startBy(child)));
+    }
+    this.raised(node);
   }
 
   /** The job is done or cancelled: nothing before it is needed for its sake any more. */
@@ -121,7 +126,7 @@
       siblings.delete(node);
       if (siblings.size === 0) this.children.delete(parent);
     }
-    this.upwards(node.parents);
+    this.eased(node.parents);
   }
 
   /** Whether `id` needs `other`, directly or through others. */
@@ -135,31 +140,53 @@
     return false;
   }
 
-  /** What flows to these jobs may have changed; goes on to the jobs before one only if its values did. */
-  private upwards(from: Iterable<string>): void {
-    const work = new Set(from);
+  /** More is asked of a job: what it needs gets that too, as far as it is news there. */
+  private raised(from: Node): void {
+    const work = new Set([from]);
     // a set goes on to what is added meanwhile; taken out first, a job may come up again
+    for (const node of work) {
+      work.delete(node);
+      for (const id of node.parents) {
+        this.visits++;
+        const parent = this.nodes.get(id);
+        if (parent === undefined) continue;
+        const rank = Math.max(parent.rank, node.rank);
+        const inner = earlier(parent.inner, startBy(node));
+        if (this.set(parent, rank, inner)) work.add(parent);
+      }
+    }
+  }
+
+  /** Less is asked of these jobs, at most: they go by what is left of those that need them. */
+  private eased(from: Iterable<string>): void {
+    const work = new Set(from);
     for (const id of work) {
       work.delete(id);
+      this.visits++;
       const node = this.nodes.get(id);
       if (node === undefined || !this.recompute(node)) continue;
-      this.changed.add(id);
       for (const parent of node.parents) work.add(parent);
     }
   }
 
   private recompute(node: Node): boolean {
-    this.visits++;
     let rank = node.ownRank;
     let inner: Instant | null = null;
     for (const child of this.children.get(node.id) ?? []) {
+      // nothing is asked beyond what was: one of many children doesn't make us look at all
+      if (rank === node.rank && inner === node.inner) break;
       this.visits++;
       rank = Math.max(rank, child.rank);
       inner = earlier(inner, startBy(child));
     }
+    return this.set(node, rank, inner);
+  }
+
+  private set(node: Node, rank: number, inner: Instant | null): boolean {
     if (rank === node.rank && inner === node.inner) return false;
     node.rank = rank;
     node.inner = inner;
+    this.changed.add(node.id);
     return true;
   }
 }
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -2,12 +2,15 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import * as Duration from "effect/Duration";
-import type { JobSpec, Order, TaskReport, WorkerReport } from "../src/core/records.js";
+import { addJob, newCluster } from "../src/core/cluster.js";
+import { Fleet } from "../src/core/fleet.js";
+import { type JobSpec, type Order, RANK, type TaskReport, type WorkerReport } from "../src/core/records.js";
 import { type Decision, Scheduler } from "../src/core/scheduler.js";
 import { termOf, tokenOf } from "../src/core/term.js";
 import { instant } from "../src/core/time.js";
 import { ZoneWatch } from "../src/core/zones.js";
 import { SPANS, TEAMS, TYPES } from "./model.js";
+import { recount } from "./recount.js";
 
 const spec = (more: Partial<JobSpec>): JobSpec => ({
   id: "req-000001",
@@ -589,3 +592,184 @@
   }
   assert.deepEqual(ways, new Set(["a", "b"]));
 });
+
+const PIPELINE_END = { id: "req-000009", awaits: ["req-000002"], priority: "high" } as const;
+
+test("an idle first stage of an urgent pipeline goes before plain normal work, as long as the pipeline stands", () => {
+  const firstStarted = (submit: (s: Scheduler) => void): string => {
+    const scene = new Scene(EAST);
+    scene.s.jobSeen(spec({ id: "req-000001", tasks: 6 }), 20, instant(0));
+    scene.s.jobSeen(spec({ id: "req-000002", tasks: 6, priority: "low" }), 21, instant(0));
+    submit(scene.s);
+    scene.step();
+    recount(scene.s.cluster);
+    assert.equal(scene.live().length, 6);
+    return scene.sent.find((x) => x.order.op === "start")!.order.job;
+  };
+  const end = spec(PIPELINE_END);
+  assert.equal(
+    firstStarted(() => undefined),
+    "req-000001",
+  );
+  assert.equal(
+    firstStarted((s) => s.waitingSeen(end, instant(500))),
+    "req-000002",
+  );
+  assert.equal(
+    firstStarted((s) => {
+      s.waitingSeen(spec({ ...PIPELINE_END, awaits: ["req-000005"] }), instant(500));
+      s.waitingSeen(spec({ id: "req-000005", awaits: ["req-000002"], priority: "low" }), instant(500));
+    }),
+    "req-000002",
+  );
+  assert.equal(
+    firstStarted((s) => {
+      s.waitingSeen(end, instant(500));
+      s.waitingOver(end.id);
+    }),
+    "req-000001",
+  );
+});
+
+test("a stage of an urgent pipeline isn't stopped for normal or urgent work, but for production, and once it is plain", () => {
+  const running = (): Scene => {
+    const scene = new Scene(EAST);
+    scene.s.jobSeen(spec({ id: "req-000002", tasks: 6, priority: "low" }), 20, instant(0));
+    scene.step();
+    assert.equal(scene.live().length, 6);
+    scene.s.waitingSeen(spec(PIPELINE_END), instant(scene.now));
+    return scene;
+  };
+  const stopped = (scene: Scene, more: Partial<JobSpec>): number => {
+    scene.s.jobSeen(spec({ id: "req-000003", ...more }), 21, instant(scene.now));
+    for (let i = 0; i < 4; i++) scene.step();
+    recount(scene.s.cluster);
+    return scene.ops("stop");
+  };
+  assert.equal(stopped(running(), { priority: "normal" }), 0);
+  assert.equal(stopped(running(), { priority: "high" }), 0);
+  assert.equal(stopped(running(), { kind: "service", priority: "production", spot: false }), 1);
+  const lowered = running();
+  assert.equal(stopped(lowered, { priority: "normal" }), 0);
+  lowered.s.waitingOver(PIPELINE_END.id);
+  for (let i = 0; i < 4; i++) lowered.step();
+  assert.equal(lowered.ops("stop"), 1);
+});
+
+test("a stage of an urgent pipeline makes room for itself among normal work", () => {
+  const stops = (urgent: boolean): number => {
+    const scene = new Scene(EAST);
+    scene.s.jobSeen(spec({ id: "req-000001", tasks: 6 }), 20, instant(0));
+    scene.step();
+    scene.s.jobSeen(spec({ id: "req-000002", priority: "low" }), 21, instant(scene.now));
+    if (urgent) scene.s.waitingSeen(spec(PIPELINE_END), instant(scene.now));
+    for (let i = 0; i < 4; i++) scene.step();
+    return scene.ops("stop");
+  };
+  assert.equal(stops(false), 0);
+  assert.equal(stops(true), 1);
+});
+
+test("a deadline counts from the submission, a long wait from the release", () => {
+  const firstStarted = (accepted: number, released: number, more: Partial<JobSpec>): string => {
+    const scene = new Scene(EAST);
+    scene.now = 200_000;
+    const estimate = Duration.seconds(20);
+    const job = spec({ id: "req-000001", priority: "low", tasks: 6, estimate, ...more });
+    scene.s.jobSeen(job, 20, instant(accepted), instant(released));
+    scene.s.jobSeen(spec({ id: "req-000002", tasks: 6 }), 21, instant(199_000));
+    for (const id of ["n-1", "n-2", "n-3"]) scene.report(id);
+    scene.step();
+    return scene.sent.find((x) => x.order.op === "start")!.order.job;
+  };
+  const due = { deadline: Duration.seconds(90) };
+  assert.equal(firstStarted(150_000, 199_000, due), "req-000001");
+  assert.equal(firstStarted(195_000, 199_000, due), "req-000002");
+  assert.equal(firstStarted(90_000, 90_000, {}), "req-000001");
+  assert.equal(firstStarted(90_000, 199_000, {}), "req-000002");
+});
+
+test("a gang held up by smaller jobs is patient from its release on", () => {
+  const held = (released: number): boolean => {
+    const scene = new Scene(EAST);
+    scene.now = 50_000;
+    for (const id of ["n-1", "n-2", "n-3"]) scene.report(id);
+    scene.s.jobSeen(spec({ id: "req-000001", image: "x" }), 20, instant(scene.now));
+    scene.step();
+    const gang = spec({ id: "req-000002", kind: "gang", tasks: 6 });
+    scene.s.jobSeen(gang, 21, instant(1000), instant(released));
+    scene.s.jobSeen(spec({ id: "req-000003", tasks: 6 }), 22, instant(scene.now));
+    scene.step();
+    return scene.live().length === 1;
+  };
+  assert.equal(held(1000), true);
+  assert.equal(held(50_000), false);
+});
+
+test("a stage hurries when the jobs after it would otherwise miss their deadline", () => {
+  const firstStarted = (deadline: number): string => {
+    const scene = new Scene(EAST);
+    scene.now = 200_000;
+    const estimate = Duration.seconds(20);
+    scene.s.jobSeen(
+      spec({ id: "req-000002", priority: "low", tasks: 6, estimate }),
+      20,
+      instant(190_000),
+      instant(199_000),
+    );
+    scene.s.jobSeen(spec({ id: "req-000001", tasks: 6 }), 21, instant(199_000));
+    const end = spec({ ...PIPELINE_END, priority: "low", estimate, deadline: Duration.seconds(deadline) });
+    scene.s.waitingSeen(end, instant(190_000));
+    for (const id of ["n-1", "n-2", "n-3"]) scene.report(id);
+    scene.step();
+    return scene.sent.find((x) => x.order.op === "start")!.order.job;
+  };
+  // each of the two takes 45 s at most
+  assert.equal(firstStarted(120), "req-000001");
+  assert.equal(firstStarted(95), "req-000002");
+});
+
+test("a waiting job holds nothing, and its release keeps what flows back through it", () => {
+  for (const releasedFirst of [true, false]) {
+    const { s } = new Scene(EAST);
+    const job = (id: string) => s.cluster.jobs.get(id);
+    const stage = spec({ id: "req-000002", awaits: ["req-000001"], priority: "low" });
+    const due = Duration.seconds(300);
+    s.jobSeen(spec({ id: "req-000001", priority: "low" }), 20, instant(0));
+    s.waitingSeen(stage, instant(0));
+    s.waitingSeen(spec({ ...PIPELINE_END, deadline: due }), instant(10_000));
+    assert.deepEqual([...s.awaitingJobs], ["req-000002", "req-000009"]);
+    assert.deepEqual([...s.cluster.jobs.keys()], ["req-000001"]);
+    assert.equal(job("req-000001")!.rank, RANK.high);
+    // two later stages of 60 s at most
+    assert.equal(job("req-000001")!.due, 310_000 - 2 * 60_000);
+
+    s.jobOver("req-000001");
+    if (!releasedFirst) s.waitingOver(stage.id);
+    s.jobSeen(stage, 30, instant(0), instant(50_000));
+    if (releasedFirst) s.waitingOver(stage.id);
+    // late word that it waits
+    s.waitingSeen(stage, instant(0));
+    assert.deepEqual([...s.awaitingJobs], ["req-000009"]);
+    assert.equal(job(stage.id)!.rank, RANK.high);
+    assert.equal(job(stage.id)!.due, 310_000 - 60_000);
+    assert.equal(job(stage.id)!.accepted, 0);
+    assert.equal(job(stage.id)!.seen, 50_000);
+    // the last one is cancelled
+    s.waitingOver("req-000009");
+    assert.equal(job(stage.id)!.rank, RANK.low);
+    assert.equal(job(stage.id)!.due, null);
+  }
+});
+
+test("room is kept for the stages of urgent pipelines that are likely to arrive, and for no other idle work", () => {
+  const options = { reuse: 0.5, idleBoots: 1.5, warmFor: Duration.seconds(45) };
+  const fleet = new Fleet(options);
+  const job = addJob(newCluster(), spec({ priority: "low", tasks: 3 }), 20, instant(0), instant(100_000));
+  fleet.arrived(job);
+  const at = instant(110_000);
+  assert.equal(fleet.expectedCpus(at), 0);
+  job.rank = RANK.high;
+  assert.equal(fleet.expectedCpus(at), 12);
+  assert.equal(fleet.expectedCpus(instant(150_000)), 0);
+});
