--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -773,3 +773,74 @@
   assert.equal(fleet.expectedCpus(at), 12);
   assert.equal(fleet.expectedCpus(instant(150_000)), 0);
 });
+
+test("what a pipeline raised isn't stopped where plain work of a higher priority of its own will do", () => {
+  const stopped = (urgent: boolean): string[] => {
+    const scene = new Scene([{ id: "n-1", zone: "east" }]);
+    scene.s.jobSeen(spec({ id: "req-000001" }), 20, instant(0));
+    scene.step();
+    scene.s.jobSeen(spec({ id: "req-000002", priority: "low" }), 21, instant(scene.now));
+    scene.step();
+    assert.equal(scene.live().length, 2);
+    if (urgent) scene.s.waitingSeen(spec(PIPELINE_END), instant(scene.now));
+    const service = spec({ id: "req-000003", kind: "service", priority: "production", spot: false });
+    scene.s.jobSeen(service, 22, instant(scene.now));
+    for (let i = 0; i < 4; i++) scene.step();
+    return scene.sent.filter((x) => x.order.op === "stop").map((x) => x.order.job);
+  };
+  assert.deepEqual(stopped(false), ["req-000002"]);
+  assert.deepEqual(stopped(true), ["req-000001"]);
+});
+
+test("a last job submitted later counts at once, without other news", () => {
+  const scene = new Scene(EAST);
+  scene.s.jobSeen(spec({ id: "req-000001", tasks: 6 }), 20, instant(0));
+  scene.step();
+  scene.s.jobSeen(spec({ id: "req-000002", priority: "low" }), 21, instant(scene.now));
+  scene.step();
+  const stops = (): number =>
+    scene.s
+      .step(instant(scene.now + 10))
+      .flatMap((d) => (d.kind === "orders" ? d.orders : []))
+      .filter((o) => o.op === "stop").length;
+  assert.equal(stops(), 0);
+  scene.s.waitingSeen(spec(PIPELINE_END), instant(scene.now));
+  assert.equal(stops(), 1);
+});
+
+test("a stage of an urgent pipeline that can't start for long ends the hurry of others, and holds places for its gang", () => {
+  const firstStarted = (urgent: boolean): string => {
+    const scene = new Scene(EAST);
+    scene.now = 200_000;
+    const late = {
+      priority: "low",
+      estimate: Duration.seconds(20),
+      deadline: Duration.seconds(90),
+    } as const;
+    scene.s.jobSeen(spec({ id: "req-000003", tasks: 6, ...late }), 20, instant(150_000));
+    scene.s.jobSeen(spec({ id: "req-000001", tasks: 6 }), 21, instant(199_000));
+    // there is no machine for it
+    scene.s.jobSeen(spec({ id: "req-000002", priority: "low", zone: "west" }), 22, instant(150_000));
+    if (urgent) scene.s.waitingSeen(spec(PIPELINE_END), instant(199_000));
+    for (const id of ["n-1", "n-2", "n-3"]) scene.report(id);
+    scene.step();
+    return scene.sent.find((x) => x.order.op === "start")!.order.job;
+  };
+  assert.equal(firstStarted(false), "req-000003");
+  assert.equal(firstStarted(true), "req-000001");
+
+  const started = (urgent: boolean): number => {
+    const scene = new Scene(EAST);
+    scene.now = 50_000;
+    for (const id of ["n-1", "n-2", "n-3"]) scene.report(id);
+    scene.s.jobSeen(spec({ id: "req-000001", image: "x" }), 20, instant(scene.now));
+    scene.step();
+    scene.s.jobSeen(spec({ id: "req-000002", kind: "gang", tasks: 6, priority: "low" }), 21, instant(1000));
+    if (urgent) scene.s.waitingSeen(spec(PIPELINE_END), instant(scene.now));
+    scene.s.jobSeen(spec({ id: "req-000003", tasks: 6 }), 22, instant(scene.now));
+    scene.step();
+    return scene.live().length;
+  };
+  assert.equal(started(false), 6);
+  assert.equal(started(true), 1);
+});
