Pipelines: records of waiting jobs and fan-in sets, and what an add to a set does

A job with unfinished parents is stored as job-waiting/ID beside its fan-in set job-fanin/ID, and becomes job/ID when the filling add releases it: the leader's scheduler knows job/ID alone, so nothing can start too early, whoever leads.

--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -37,6 +37,11 @@
   readonly outcome: Outcome;
   readonly tasks: number;
 }
+/** A waiting job's fan-in set: which of its parents are done, and whether the add that filled it released the job. */
+export interface FaninRecord {
+  readonly joined: readonly string[];
+  readonly released: boolean;
+}
 export interface MachineRecord {
   readonly type: string;
   readonly zone: string;
@@ -133,8 +138,15 @@
   members: "cluster/member/",
   member: (name: string) => `cluster/member/${name}`,
   types: "types",
+  /** Whatever concerns unfinished jobs: released ones, waiting ones and fan-in sets, so that one watch tells all. */
+  unfinished: "job",
   jobs: "job/",
   job: (id: string) => `job/${id}`,
+  /** A job that waits for others. Earlier versions never list or read it: they would start it at once. */
+  waitings: "job-waiting/",
+  waiting: (id: string) => `job-waiting/${id}`,
+  fanins: "job-fanin/",
+  fanin: (id: string) => `job-fanin/${id}`,
   commit: (id: string) => `commit/${id}`,
   ranges: "ranges/",
   rangesOf: (id: string, writer: string, chunk: number) => `ranges/${id}/${writer}/${chunk}`,
--- a/src/io/codec.ts
+++ b/src/io/codec.ts
@@ -2,6 +2,7 @@
 import { Ajv } from "ajv";
 import * as Duration from "effect/Duration";
 import type {
+  FaninRecord,
   JobSpec,
   Kind,
   MachineRecord,
@@ -73,6 +74,11 @@
       .filter((name) => (value as unknown as Record<string, unknown>)[name] != null)
       .map((name) => [name, (value as unknown as Record<string, unknown>)[name]]),
   ) as unknown as WireJob;
+  if (wire.awaits != null) {
+    if (wire.awaits.includes(wire.ref)) return "awaits names the job itself";
+    if (wire.awaits.length === 0) delete wire.awaits;
+    else wire.awaits = [...new Set(wire.awaits)];
+  }
   return { wire, spec: specOf(wire) };
 };
 
@@ -106,10 +112,25 @@
   ...wire,
   accepted_ms: accepted.getTime(),
 });
-export const acceptedOf = (record: unknown): Date | null => {
-  const ms = (record as { accepted_ms?: unknown }).accepted_ms;
+/** A waiting job's record as it is once its last parent is done: its waiting times count from then. */
+export const releasedRecord = (record: object, released: Date): object => ({
+  ...record,
+  released_ms: released.getTime(),
+});
+const dateIn = (record: unknown, field: "accepted_ms" | "released_ms"): Date | null => {
+  const ms = (record as Record<string, unknown>)[field];
   return Number.isSafeInteger(ms) ? new Date(ms as number) : null;
 };
+export const acceptedOf = (record: unknown): Date | null => dateIn(record, "accepted_ms");
+export const releasedOf = (record: unknown): Date | null => dateIn(record, "released_ms");
+
+/** A fan-in set as it was read; null: it can't be one. */
+export const readFanin = (value: unknown): FaninRecord | null => {
+  const { joined, released } = (value ?? {}) as Partial<FaninRecord>;
+  return Array.isArray(joined) && joined.every((x) => typeof x === "string")
+    ? { joined, released: released === true }
+    : null;
+};
 
 /** A job record as it was read; null: it can't be what was accepted under this id. */
 export const readJob = (id: string, value: unknown): JobSpec | null =>
--- a/src/io/schemas.ts
+++ b/src/io/schemas.ts
@@ -105,14 +105,15 @@
   bookmark_s: amount,
   stash_s: amount,
   due_s: nullable(amount),
+  awaits: nullable({ type: "array", items: { type: "string", pattern: "^req-[0-9]{1,18}$" } }),
 } as const;
 
 /** POST /v2/runs. What may be null may be omitted; all else has to be there. Fields it doesn't name are ignored. */
-export const submissionSchema = object(submission, ["builds", "district", "due_s"]);
+export const submissionSchema = object(submission, ["builds", "district", "due_s", "awaits"]);
 
 /** A job record: earlier versions accepted submissions that lack some fields, and those jobs have to run. */
 const LENIENT = ["gpus", "together", "apart", "loaners", "expected_s", "bookmark_s", "stash_s"] as const;
 export const jobRecordSchema = object(
   { ...submission, ...Object.fromEntries(LENIENT.map((name) => [name, nullable(submission[name])])) },
-  ["builds", "district", "due_s", ...LENIENT],
+  ["builds", "district", "due_s", "awaits", ...LENIENT],
 );
