Pipelines: acceptance, joins and releases, cancels passed on, answers that rest on ancestors

The accepting write rests on the parents as they were read. A commit is followed by its joins at once; what was missed is found by looking at what still waits. A waiting job's answer is checked against the commits of all its unfinished ancestors, so no later question is answered from a record older than an ancestor's cancel.

--- a/src/core/fanin.ts
+++ b/src/core/fanin.ts
@@ -33,7 +33,9 @@
   }
   const fills = awaits.every((parent) => held.has(parent));
   // a set that is full and has released nothing can't be, but a job must not wait for ever for want of one more add
-  return more || fills ? { kind: "join", joined: awaits.filter((p) => held.has(p)), fills } : { kind: "wait" };
+  return more || fills
+    ? { kind: "join", joined: awaits.filter((p) => held.has(p)), fills }
+    : { kind: "wait" };
 };
 
 /** Waiting jobs by what they wait for. */
--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -2,9 +2,11 @@
 import http from "node:http";
 import * as Effect from "effect/Effect";
 import { hopeless } from "../core/admission.js";
-import { type CommitRecord, keys, type Team } from "../core/records.js";
+import { type CommitRecord, type FaninRecord, keys, type Outcome, type Team } from "../core/records.js";
 import {
   beatAnswer,
+  type Change,
+  type Condition,
   elsewhereAnswer,
   jobAnswer,
   jobRecord,
@@ -12,6 +14,7 @@
   parseSubmission,
   paths,
   pollAnswer,
+  releasedRecord,
   type UserState,
   type WireJob,
 } from "../io/codec.js";
@@ -35,13 +38,20 @@
 /** Users' requests under way at once; more are told to come back. */
 const MAX_OPEN = 400;
 const RETRY_AFTER_S = 1;
+/** Parents may go on while their child is accepted: it is tried again with what was read anew. */
+const ACCEPT_TRIES = 4;
 const JOB_ID = /^req-[0-9]{1,18}$/;
 
+/** A job that another one is to wait for: over, or unfinished and not gone on from there as long as this holds. */
+type Parent = { readonly state: Outcome } | { readonly state: "open"; readonly condition: Condition };
+
 export interface FrontOptions {
   readonly bind: string;
   readonly connections: number;
   readonly teams: ReadonlyMap<string, Team>;
   readonly valueKb: number;
+  /** How much one transaction compares. */
+  readonly conditions: number;
 }
 
 export class Front {
@@ -156,49 +166,142 @@
       const { wire, spec } = parsed;
       const bytes = Buffer.byteLength(JSON.stringify(jobRecord(wire, new Date())));
       if (bytes > this.options.valueKb * 1024) return problem(400, "too large to be stored");
-      const known = this.mirror.jobs.has(spec.id);
-      if (known) return yield* this.repeated(spec.id);
+      if (this.mirror.isUnfinished(spec.id)) return yield* this.repeated(spec.id);
       if (this.mirror.types.length === 0) return unsure("machine types are not known yet");
       const why = hopeless(spec, this.options.teams, this.mirror.types);
-      if (why !== null) {
-        // a repeat of an accepted job is never refused
-        const standing = yield* this.status.of(spec.id);
-        return standing.kind === "absent" ? problem(422, why) : this.standing(spec.id, standing);
-      }
-      return yield* this.accept(wire);
+      if (why !== null) return yield* this.refused(spec.id, problem(422, why));
+      return yield* spec.awaits.length === 0 ? this.accept(wire) : this.acceptAfter(wire, spec.awaits);
     });
   }
 
+  /** A repeat of an accepted job is never refused: it gets its first answer again, whatever it says now. */
+  private refused(id: string, why: Answer) {
+    return Effect.map(this.status.of(id), (standing) =>
+      standing.kind === "absent" ? why : this.standing(id, standing),
+    );
+  }
+
   /** The accepting write: a job without parents is released by it. */
   private accept(wire: WireJob) {
     return Effect.gen(this, function* () {
       const record = jobRecord(wire, new Date());
-      const result = yield* this.state.commit(
-        [
-          { key: keys.job(wire.ref), stamp: 0 },
-          { key: keys.commit(wire.ref), stamp: 0 },
-        ],
-        [{ put: keys.job(wire.ref), value: record }],
-      );
+      const result = yield* this.state.commit(this.isNew(wire.ref), [
+        { put: keys.job(wire.ref), value: record },
+      ]);
       if (result.ok === null) return problem(400, `can't be stored: ${result.error}`);
       if (result.ok === false) return yield* this.repeated(wire.ref);
       this.mirror.put(keys.job(wire.ref), record, result.revision);
-      this.log.info(
-        {
-          job: wire.ref,
-          class: wire.roster,
-          team: wire.crew,
-          tasks: wire.chores,
-          estimateS: wire.expected_s,
-          image: wire.bundle,
-          imageGb: wire.image_gb,
-        },
-        "accepted",
-      );
+      this.accepted(wire);
       return answer(201, jobAnswer(wire.ref, "queued"));
     });
   }
 
+  private isNew(id: string): Condition[] {
+    return [keys.commit(id), keys.job(id), keys.waiting(id)].map((key) => ({ key, stamp: 0 }));
+  }
+
+  private accepted(wire: WireJob): void {
+    this.log.info(
+      {
+        job: wire.ref,
+        class: wire.roster,
+        team: wire.crew,
+        tasks: wire.chores,
+        estimateS: wire.expected_s,
+        image: wire.bundle,
+        imageGb: wire.image_gb,
+        ...(wire.awaits == null ? {} : { awaits: wire.awaits.join(" ") }),
+      },
+      "accepted",
+    );
+  }
+
+  /**
+   * A job that waits for others. Its record and its fan-in set are written in one transaction that rests on its parents
+   * as they were read; with more of them than a transaction compares, a commit that comes in between is found by whoever
+   * looks after waiting jobs, as after any join that was lost. If all are done, the accepting write is the filling add.
+   */
+  private acceptAfter(wire: WireJob, awaits: readonly string[]) {
+    return Effect.gen(this, function* () {
+      const { ref: id } = wire;
+      const record = jobRecord(wire, new Date());
+      const full: FaninRecord = { joined: awaits, released: true };
+      const limit = this.options.valueKb * 1024;
+      const largest = [releasedRecord(record, new Date()), full].map((x) =>
+        Buffer.byteLength(JSON.stringify(x)),
+      );
+      if (Math.max(...largest) > limit) return problem(400, "too large to be stored");
+      const stale = new Set<string>();
+      for (let tries = 0; tries < ACCEPT_TRIES; tries++) {
+        const parents = yield* Effect.forEach(awaits, (p) => this.parent(p, stale.has(p)), {
+          concurrency: 4,
+        });
+        if (parents.includes(null))
+          return yield* this.refused(id, problem(422, "awaits names a job that was never accepted"));
+        const known = parents as Parent[];
+        const joined = awaits.filter((_, i) => known[i]!.state === "done");
+        const cancelled = known.some((p) => p.state === "cancelled");
+        const open = known.flatMap((p) => (p.state === "open" ? [p.condition] : []));
+        const own = this.isNew(id);
+        const when = [...own, ...open.slice(0, Math.max(0, this.options.conditions - own.length))];
+        const commit: CommitRecord = { outcome: "cancelled", tasks: wire.chores };
+        const fanin: FaninRecord = { joined, released: false };
+        const released = releasedRecord(record, new Date());
+        const apply: Change[] = cancelled
+          ? [{ put: keys.commit(id), value: commit }]
+          : open.length === 0
+            ? [{ put: keys.job(id), value: released }]
+            : [
+                { put: keys.waiting(id), value: record },
+                { put: keys.fanin(id), value: fanin },
+              ];
+        const result = yield* this.state.commit(when, apply);
+        if (result.ok === null)
+          return yield* this.refused(id, problem(400, `can't be stored: ${result.error}`));
+        if (result.ok === true) {
+          this.accepted(wire);
+          if (cancelled) {
+            this.status.remember(id, commit);
+            this.mirror.remove(id);
+            return answer(201, jobAnswer(id, "cancelled"));
+          }
+          if (open.length === 0) this.mirror.put(keys.job(id), released, result.revision);
+          else {
+            this.mirror.putFanin(id, fanin, result.revision);
+            this.mirror.putWaiting(keys.waiting(id), record, result.revision);
+          }
+          return answer(201, jobAnswer(id, "queued"));
+        }
+        if (result.failed.some((key) => own.some((c) => c.key === key))) return yield* this.repeated(id);
+        // some parent went on: what is known here is behind
+        for (const p of awaits) stale.add(p);
+      }
+      return unsure("not decided");
+    }).pipe(
+      // a repeat of an accepted job gets its answer also when a parent's record can't be read
+      Effect.catchAll((e) => this.refused(wire.ref, unsure(typeof e === "string" ? e : e.why))),
+    );
+  }
+
+  /** A job that another one is to wait for, as it is now; null: it was never accepted. */
+  private parent(id: string, stale: boolean) {
+    return Effect.gen(this, function* () {
+      const open = (key: string, stamp: number): Parent => ({ state: "open", condition: { key, stamp } });
+      const outcome = this.status.outcome(id);
+      if (outcome !== undefined) return { state: outcome.outcome } as Parent;
+      if (!stale) {
+        const job = this.mirror.jobs.get(id);
+        if (job !== undefined) return open(keys.job(id), job.stamp);
+        const waiting = this.mirror.waiting.get(id);
+        if (waiting !== undefined) return open(keys.waiting(id), waiting.stamp);
+      }
+      const standing = yield* this.status.read(id);
+      if (standing.kind === "absent") return null;
+      if (standing.kind === "final") return { state: standing.commit.outcome } as Parent;
+      return open(standing.waiting ? keys.waiting(id) : keys.job(id), standing.stamp);
+    });
+  }
+
   private repeated(id: string) {
     return Effect.map(this.status.of(id), (standing) =>
       standing.kind === "absent" ? unsure("not decided") : this.standing(id, standing),
@@ -239,9 +342,13 @@
         const result = yield* this.state.commit(
           [
             { key: keys.commit(id), stamp: 0 },
-            { key: keys.job(id), stamp: standing.stamp },
+            { key: standing.waiting ? keys.waiting(id) : keys.job(id), stamp: standing.stamp },
+          ],
+          [
+            { put: keys.commit(id), value: commit },
+            { delete: standing.waiting ? keys.waiting(id) : keys.job(id) },
+            ...(standing.waiting || this.mirror.fanins.has(id) ? [{ delete: keys.fanin(id) }] : []),
           ],
-          [{ put: keys.commit(id), value: commit }, { delete: keys.job(id) }],
         );
         if (result.ok === true) {
           this.status.remember(id, commit);
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -31,8 +31,9 @@
 import { collect } from "./mailbox.js";
 import type { Member } from "./member.js";
 import type { Leadership, Membership } from "./membership.js";
-import type { Mirror, MirroredJob } from "./mirror.js";
+import type { Mirror, MirroredJob, WaitingJob } from "./mirror.js";
 import type { Peers } from "./peers.js";
+import type { Releases } from "./releases.js";
 import { Signal } from "./signal.js";
 
 export interface LeaderOptions {
@@ -101,8 +102,11 @@
     private readonly state: StateClient,
     private readonly cloud: CloudClient,
     private readonly peers: Peers,
+    private readonly releases: Releases,
     private readonly log: Log,
   ) {
+    mirror.onWaiting = (job) => this.waitingSeen(job);
+    mirror.onWaitingOver = (id) => this.guarded?.with((s) => s.waitingOver(id));
     mirror.onJob = (job) => this.jobSeen(job);
     mirror.onOver = (id) => this.jobOver(id);
     mirror.onTypes = (types) => this.guarded?.with((s) => s.setTypes(types));
@@ -111,12 +115,18 @@
 
   private jobSeen(job: MirroredJob): void {
     if (this.guarded === null || job.stamp <= this.reread) return;
-    this.guarded.with((s) => s.jobSeen(job.spec, job.stamp, job.accepted));
+    this.guarded.with((s) => s.jobSeen(job.spec, job.stamp, job.accepted, job.released));
     this.stepNow.poke();
   }
 
+  private waitingSeen(job: WaitingJob): void {
+    this.guarded?.with((s) => s.waitingSeen(job.spec, job.accepted));
+    this.releases.waitingSeen(job.spec.id);
+  }
+
   private jobOver(id: string): void {
     this.member.jobOver(id);
+    this.releases.over(id);
     if (this.guarded === null) return;
     this.guarded.with((s) => s.jobOver(id));
     this.stepNow.poke();
@@ -228,7 +238,7 @@
     this.reread = jobs.revision;
     for (const row of jobs.rows) {
       const job = this.mirror.put(row.key, row.value, row.stamp);
-      if (typeof job !== "string") scheduler.jobSeen(job.spec, job.stamp, job.accepted);
+      if (typeof job !== "string") scheduler.jobSeen(job.spec, job.stamp, job.accepted, job.released);
     }
     for (const row of ranges.rows) {
       const id = row.key.split("/")[1]!;
@@ -237,7 +247,8 @@
     }
     // the mirror may have heard of later jobs, and later ends, while the records were read
     for (const job of this.mirror.jobs.values())
-      if (job.stamp > jobs.revision) scheduler.jobSeen(job.spec, job.stamp, job.accepted);
+      if (job.stamp > jobs.revision) scheduler.jobSeen(job.spec, job.stamp, job.accepted, job.released);
+    for (const job of this.mirror.waiting.values()) scheduler.waitingSeen(job.spec, job.accepted);
     for (const id of [...scheduler.cluster.jobs.keys()]) if (!this.mirror.jobs.has(id)) scheduler.jobOver(id);
     this.guarded = new Guarded(scheduler);
     this.state.setLeading(true);
@@ -261,6 +272,7 @@
     yield* this.fork(this.typesLoop);
     yield* this.fork(this.recordLoop(leadership));
     yield* this.fork(this.sweepLoop);
+    yield* this.fork(this.releases.run);
     yield* this.fork(collect(this.state, this.log, this.sync));
     yield* this.fork(this.summaryLoop);
   });
@@ -420,7 +432,12 @@
           { key: keys.commit(id), stamp: 0 },
           { key: keys.leader, stamp: leadership.stamp },
         ],
-        [{ put: keys.commit(id), value: record }, { delete: keys.job(id) }],
+        [
+          { put: keys.commit(id), value: record },
+          { delete: keys.job(id) },
+          // a child deletes its fan-in set once it commits
+          ...(this.mirror.fanins.has(id) ? [{ delete: keys.fanin(id) }] : []),
+        ],
       );
       if (result.ok === true) {
         this.log.info({ job: id, term: this.membership.term?.token }, "done");
@@ -487,6 +504,9 @@
       this.guarded?.with((s) => {
         for (const row of rows) if (!s.cluster.jobs.has(row.key.split("/")[1]!)) this.useless.add(row.key);
       });
+      // sets of jobs that an earlier version committed, or whose set wasn't known to who committed them
+      for (const id of this.mirror.fanins.keys())
+        if (this.mirror.isOver(id) && !this.mirror.isUnfinished(id)) this.useless.add(keys.fanin(id));
     }
     const deletes = [...this.useless].slice(0, Math.max(1, this.options.txnOps - MAX_REWRITES));
     const rewrites = this.blocks.changed(MAX_REWRITES);
--- a/src/service/mirror.ts
+++ b/src/service/mirror.ts
@@ -2,17 +2,31 @@
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
 import { type Instant, passed } from "../core/time.js";
-import { type JobSpec, keys, type MachineType } from "../core/records.js";
+import { Waiters } from "../core/fanin.js";
+import { type FaninRecord, type JobSpec, keys, type MachineType } from "../core/records.js";
 import { instantOf, now } from "../io/clock.js";
-import { acceptedOf, readJob, typesOf, type WireType } from "../io/codec.js";
+import { acceptedOf, readFanin, readJob, releasedOf, type Row, typesOf, type WireType } from "../io/codec.js";
 import type { Log } from "../io/log.js";
 import type { StateClient } from "../io/state-client.js";
 
 export interface MirroredJob {
   readonly spec: JobSpec;
   readonly stamp: number;
-  /** About when it was accepted, on this node's steady clock. */
+  /** About when it was accepted, and when the last job that it needs was done, on this node's steady clock. */
   readonly accepted: Instant;
+  readonly released: Instant;
+}
+
+/** A job that waits for others; its record becomes that of the released job. */
+export interface WaitingJob {
+  readonly spec: JobSpec;
+  readonly stamp: number;
+  readonly accepted: Instant;
+  readonly record: object;
+}
+
+export interface Fanin extends FaninRecord {
+  readonly stamp: number;
 }
 
 const MAX_OVER = 20_000;
@@ -22,6 +36,10 @@
 
 export class Mirror {
   readonly jobs = new Map<string, MirroredJob>();
+  /** Jobs that wait for others, and the fan-in sets of these and of those released since. */
+  readonly waiting = new Map<string, WaitingJob>();
+  readonly fanins = new Map<string, Fanin>();
+  readonly waiters = new Waiters();
   /** Jobs whose end was seen: a late answer that still has their record must not bring them back. */
   private readonly over = new Set<string>();
   types: readonly MachineType[] = [];
@@ -31,6 +49,9 @@
   leading: () => boolean = () => false;
   onJob: (job: MirroredJob) => void = () => undefined;
   onOver: (id: string) => void = () => undefined;
+  onWaiting: (job: WaitingJob) => void = () => undefined;
+  /** It waits no longer: it was released, and then is among `jobs`, or cancelled. */
+  onWaitingOver: (id: string) => void = () => undefined;
   onTypes: (types: readonly MachineType[]) => void = () => undefined;
 
   constructor(
@@ -60,29 +81,90 @@
       this.log.error({ job: id }, "a job record can't be read");
       return "malformed";
     }
-    const accepted = acceptedOf(value);
-    const job = { spec, stamp, accepted: accepted === null ? now() : instantOf(accepted) };
+    const date = acceptedOf(value);
+    const accepted = date === null ? now() : instantOf(date);
+    const since = releasedOf(value);
+    const job = { spec, stamp, accepted, released: since === null ? accepted : instantOf(since) };
     this.jobs.set(id, job);
     this.onJob(job);
+    this.dropWaiting(id);
     return job;
   }
 
+  /** A waiting job's record that was read. */
+  putWaiting(key: string, value: unknown, stamp: number): WaitingJob | MirroredJob | "over" | "malformed" {
+    const id = key.slice(keys.waitings.length);
+    const known = this.waiting.get(id) ?? this.jobs.get(id);
+    if (known !== undefined) return known;
+    if (this.over.has(id)) return "over";
+    const spec = readJob(id, value);
+    if (spec === null) {
+      this.log.error({ job: id }, "a waiting job's record can't be read");
+      return "malformed";
+    }
+    const date = acceptedOf(value);
+    const accepted = date === null ? now() : instantOf(date);
+    const job = { spec, stamp, accepted, record: value as object };
+    this.waiting.set(id, job);
+    this.waiters.add(id, spec.awaits);
+    this.onWaiting(job);
+    return job;
+  }
+
+  putFanin(id: string, value: unknown, stamp: number): void {
+    const record = readFanin(value);
+    const known = this.fanins.get(id);
+    if (record === null || (known !== undefined && known.stamp >= stamp)) return;
+    this.fanins.set(id, { ...record, stamp });
+  }
+
+  /** Released or waiting: it has no commit yet, as far as is known here. */
+  isUnfinished(id: string): boolean {
+    return this.jobs.has(id) || this.waiting.has(id);
+  }
+
+  private dropWaiting(id: string): void {
+    if (!this.waiting.delete(id)) return;
+    this.waiters.remove(id);
+    this.onWaitingOver(id);
+  }
+
   remove(id: string): void {
     this.over.add(id);
     if (this.over.size > MAX_OVER) this.over.delete(this.over.values().next().value!);
-    if (this.jobs.delete(id)) this.onOver(id);
+    const waited = this.waiting.has(id);
+    this.dropWaiting(id);
+    if (this.jobs.delete(id) || waited) this.onOver(id);
+  }
+
+  /** A row of whatever concerns unfinished jobs. */
+  private putRow({ key, value, stamp }: Row): void {
+    if (key.startsWith(keys.jobs)) this.put(key, value, stamp);
+    else if (key.startsWith(keys.waitings)) this.putWaiting(key, value, stamp);
+    else if (key.startsWith(keys.fanins)) this.putFanin(key.slice(keys.fanins.length), value, stamp);
+  }
+
+  private removeRow(key: string): void {
+    if (key.startsWith(keys.jobs)) this.remove(key.slice(keys.jobs.length));
+    else if (key.startsWith(keys.fanins)) this.fanins.delete(key.slice(keys.fanins.length));
+    else if (key.startsWith(keys.waitings)) {
+      const id = key.slice(keys.waitings.length);
+      // a release writes the job's record in the same change; without one the job was cancelled
+      if (this.waiting.has(id)) this.remove(id);
+    }
   }
 
   private readonly jobLoop = Effect.gen(this, function* () {
     const listed = now();
-    const list = yield* this.state.list(keys.jobs);
-    const present = new Set<string>();
-    for (const row of list.rows) {
-      present.add(row.key.slice(keys.jobs.length));
-      this.put(row.key, row.value, row.stamp);
-    }
+    const list = yield* this.state.list(keys.unfinished);
+    const present = new Set(list.rows.map((row) => row.key));
+    for (const row of list.rows) this.putRow(row);
     for (const [id, job] of [...this.jobs])
-      if (!present.has(id) && job.stamp <= list.revision) this.remove(id);
+      if (!present.has(keys.job(id)) && job.stamp <= list.revision) this.remove(id);
+    for (const [id, job] of [...this.waiting])
+      if (!present.has(keys.waiting(id)) && job.stamp <= list.revision) this.remove(id);
+    for (const [id, set] of [...this.fanins])
+      if (!present.has(keys.fanin(id)) && set.stamp <= list.revision) this.fanins.delete(id);
     this.ready = true;
     this.read = listed;
     let revision = list.revision;
@@ -90,10 +172,11 @@
       const asked = now();
       // an answer that was long on its way says little about now: the next one is asked for at once
       const late = passed(asked, this.read, Duration.times(this.watchFor, 2));
-      const got = yield* this.state.watch(keys.jobs, revision, late ? Duration.zero : this.watchFor);
-      for (const e of got.events)
-        if (e.value === undefined) this.remove(e.key.slice(keys.jobs.length));
-        else this.put(e.key, e.value, e.stamp);
+      const got = yield* this.state.watch(keys.unfinished, revision, late ? Duration.zero : this.watchFor);
+      // what was written first: a release deletes the waiting job's record in the change that writes the job's
+      for (const { key, value, stamp } of got.events)
+        if (value !== undefined) this.putRow({ key, value, stamp });
+      for (const { key, value } of got.events) if (value === undefined) this.removeRow(key);
       revision = got.revision;
       this.read = asked;
       yield* Effect.sleep(this.leading() ? LEADERS_GATHER : GATHER);
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -13,6 +13,7 @@
 import { Membership } from "./membership.js";
 import { Mirror } from "./mirror.js";
 import { Peers, servePeers } from "./peers.js";
+import { Releases } from "./releases.js";
 import { Status } from "./status.js";
 
 /**
@@ -68,6 +69,8 @@
       peers,
       log,
     );
+    const status = new Status(state, mirror, settings.stateLimits.txnOps * 4);
+    const releases = new Releases(state, mirror, status, log);
     const leader = new Leader(
       {
         me: settings.member,
@@ -89,6 +92,7 @@
       state,
       cloud,
       peers,
+      releases,
       log,
     );
     mirror.leading = () => membership.leadership !== null;
@@ -97,7 +101,6 @@
       leader.termChanged(term);
       member.termChanged();
     };
-    const status = new Status(state, mirror, settings.stateLimits.txnOps * 4);
     member.isOpen = (job) => mirror.jobs.has(job);
     member.isOver = (job) => mirror.isOver(job);
     member.onDone = (job, tasks) => {
@@ -110,6 +113,7 @@
         connections: Math.floor(settings.maxConnections * FRONT),
         teams,
         valueKb: settings.stateLimits.valueKb,
+        conditions: settings.stateLimits.txnOps * 4,
       },
       state,
       mirror,
--- /dev/null
+++ b/src/service/releases.ts
@@ -0,0 +1,158 @@
+/**
+ * Looks after waiting jobs while this node leads: each parent's commit joins the sets of the jobs that wait for it, the
+ * add that fills a set releases its job in the same conditional write, and a cancelled parent's outcome passes on.
+ * A commit that this process made is followed by its joins at once. Whatever was missed (a leader that ended between a
+ * commit and its joins, a job accepted while its parent committed) is found by looking at what still waits: at all of it
+ * after a take-over and every few seconds, at the rest only where something changed.
+ */
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+import { faninStep, type ParentState } from "../core/fanin.js";
+import { type CommitRecord, type FaninRecord, keys } from "../core/records.js";
+import { type Instant, passed } from "../core/time.js";
+import { now } from "../io/clock.js";
+import { releasedRecord } from "../io/codec.js";
+import type { Log } from "../io/log.js";
+import type { StateClient } from "../io/state-client.js";
+import type { Fanin, Mirror } from "./mirror.js";
+import { Signal } from "./signal.js";
+import type { Status } from "./status.js";
+
+const LOOK_EVERY = Duration.seconds(1);
+const LOOK_AT_ALL_EVERY = Duration.seconds(5);
+const AT_ONCE = 4;
+
+export class Releases {
+  private readonly changed = new Set<string>();
+  private readonly wake = new Signal();
+  private lookedAtAll: Instant | null = null;
+  private running = false;
+
+  constructor(
+    private readonly state: StateClient,
+    private readonly mirror: Mirror,
+    private readonly status: Status,
+    private readonly log: Log,
+  ) {}
+
+  /** A waiting job was heard of. */
+  waitingSeen(id: string): void {
+    if (!this.running) return;
+    this.changed.add(id);
+    this.wake.poke();
+  }
+
+  /** A job has its commit: those that wait for it are looked at. */
+  over(id: string): void {
+    for (const child of this.mirror.waiters.childrenOf(id)) this.waitingSeen(child);
+  }
+
+  /** For as long as this node leads. */
+  readonly run: Effect.Effect<never> = Effect.suspend(() => {
+    this.running = true;
+    this.lookedAtAll = null;
+    return Effect.forever(this.round);
+  }).pipe(
+    Effect.ensuring(
+      Effect.sync(() => {
+        this.running = false;
+        this.changed.clear();
+      }),
+    ),
+  );
+
+  private readonly round = Effect.gen(this, function* () {
+    if (this.lookedAtAll === null || passed(now(), this.lookedAtAll, LOOK_AT_ALL_EVERY)) {
+      this.lookedAtAll = now();
+      for (const id of this.mirror.waiting.keys()) this.changed.add(id);
+    }
+    const some = [...this.changed];
+    this.changed.clear();
+    yield* Effect.forEach(some, (id) => this.settle(id), { concurrency: AT_ONCE, discard: true });
+    // what a write of this round led to goes on at once
+    if (this.changed.size === 0) yield* this.wake.wait(LOOK_EVERY);
+  }).pipe(
+    Effect.catchAllCause((cause) =>
+      Effect.zipRight(
+        Effect.sync(() => this.log.error({ cause: cause.toString() }, "looking after waiting jobs failed")),
+        Effect.sleep(LOOK_EVERY),
+      ),
+    ),
+  );
+
+  private settle(id: string): Effect.Effect<void> {
+    return Effect.gen(this, function* () {
+      const job = this.mirror.waiting.get(id);
+      if (job === undefined) return;
+      const { awaits, tasks } = job.spec;
+      const outcomes = new Map<string, ParentState>();
+      for (const parent of awaits) outcomes.set(parent, yield* this.parentState(parent));
+      const set = this.mirror.fanins.get(id) ?? (yield* this.readSet(id));
+      const step = faninStep(awaits, set?.joined ?? [], (parent) => outcomes.get(parent)!);
+      if (step.kind === "wait") return;
+      if (step.kind === "cancel") {
+        yield* this.status.cancelWaiting(id, tasks);
+        this.log.info({ job: id }, "cancelled with a job that it needs");
+        return;
+      }
+      // adds to full or missing sets release nothing
+      if (set === null || set.released) return;
+      yield* this.join(id, job.stamp, job.record, set, { joined: step.joined, released: step.fills });
+    }).pipe(
+      Effect.catchAll((e) => Effect.sync(() => this.log.debug({ job: id, why: e.why }, "a join is delayed"))),
+    );
+  }
+
+  private parentState(id: string) {
+    return Effect.gen(this, function* () {
+      if (this.mirror.isUnfinished(id)) return "open" as const;
+      const known = this.status.outcome(id);
+      if (known !== undefined) return known.outcome;
+      const row = yield* this.state.get(keys.commit(id));
+      // accepted a moment ago, and not heard of here yet
+      if (row === null) return "unknown" as const;
+      const commit = row.value as CommitRecord;
+      this.status.remember(id, commit);
+      return commit.outcome;
+    });
+  }
+
+  private readSet(id: string) {
+    return Effect.gen(this, function* () {
+      const row = yield* this.state.get(keys.fanin(id));
+      if (row !== null) this.mirror.putFanin(id, row.value, row.stamp);
+      return this.mirror.fanins.get(id) ?? null;
+    });
+  }
+
+  /** The add, and with the filling one the release, in one conditional write. */
+  private join(id: string, stamp: number, record: object, set: Fanin, fanin: FaninRecord) {
+    return Effect.gen(this, function* () {
+      const released = releasedRecord(record, new Date());
+      const result = yield* this.state.commit(
+        [
+          { key: keys.fanin(id), stamp: set.stamp },
+          { key: keys.waiting(id), stamp },
+          { key: keys.commit(id), stamp: 0 },
+        ],
+        [
+          { put: keys.fanin(id), value: fanin },
+          ...(fanin.released ? [{ put: keys.job(id), value: released }, { delete: keys.waiting(id) }] : []),
+        ],
+      );
+      if (result.ok === true) {
+        this.mirror.putFanin(id, fanin, result.revision);
+        if (!fanin.released) return;
+        this.mirror.put(keys.job(id), released, result.revision);
+        this.log.info({ job: id }, "released");
+        return;
+      }
+      if (result.ok === null) {
+        this.log.error({ job: id, why: result.error }, "a fan-in set can't be written");
+        return;
+      }
+      // somebody else's add, or a late one of an earlier leader, came first: the next look rests on that
+      if (result.failed.includes(keys.fanin(id)) || result.failed.length === 0) yield* this.readSet(id);
+    });
+  }
+}
--- a/src/service/status.ts
+++ b/src/service/status.ts
@@ -12,11 +12,14 @@
 
 export type Standing =
   | { readonly kind: "final"; readonly commit: CommitRecord }
-  | { readonly kind: "open"; readonly stamp: number; readonly tasks: number }
+  /** `waiting`: for other jobs; its record has another key then. */
+  | { readonly kind: "open"; readonly stamp: number; readonly tasks: number; readonly waiting: boolean }
   | { readonly kind: "absent" };
 
 interface Waiting {
   readonly id: string;
+  /** The keys that must not exist for a non-final answer, or for 404. */
+  readonly keys: readonly string[];
   readonly known: boolean;
   readonly answer: Deferred.Deferred<Standing, StateError>;
 }
@@ -45,6 +48,11 @@
     private readonly conditions: number,
   ) {}
 
+  /** A job's outcome, if it is known here. */
+  outcome(id: string): CommitRecord | undefined {
+    return this.finals.get(id);
+  }
+
   remember(id: string, commit: CommitRecord): void {
     this.finals.set(id, commit);
     if (this.finals.size > MAX_FINAL) this.finals.delete(this.finals.keys().next().value!);
@@ -57,7 +65,8 @@
       if (commit !== undefined) return { kind: "final", commit } as const;
       if (this.waiting.length >= MAX_WAITING) return yield* Effect.fail("busy" as const);
       const answer = yield* Deferred.make<Standing, StateError>();
-      this.waiting.push({ id, known: this.mirror.jobs.has(id), answer });
+      const known = this.mirror.isUnfinished(id);
+      this.waiting.push({ id, keys: this.keysOf(id, known), known, answer });
       if (!this.gathering) {
         this.gathering = true;
         Effect.runFork(Effect.zipRight(Effect.sleep(GATHER), this.flush));
@@ -73,9 +82,15 @@
     all.sort((a, b) => (a.turn < b.turn ? -1 : a.turn > b.turn ? 1 : 0));
     this.waiting = [];
     const batches: Waiting[][] = [];
-    const perBatch = Math.max(1, Math.floor(this.conditions / 2));
-    for (let at = 0; at < all.length; at += perBatch)
-      batches.push(all.slice(at, at + perBatch).map(({ w }) => w));
+    let room = 0;
+    for (const { w } of all) {
+      if (w.keys.length > room) {
+        batches.push([]);
+        room = this.conditions;
+      }
+      room -= w.keys.length;
+      batches.at(-1)!.push(w);
+    }
     return Effect.forEach(batches, (batch) => this.check(batch), { concurrency: 2, discard: true });
   });
 
@@ -89,8 +104,18 @@
     return Deferred.fail(w.answer, error);
   }
 
-  private keysOf(w: Waiting): string[] {
-    return w.known ? [keys.commit(w.id)] : [keys.commit(w.id), keys.job(w.id)];
+  /**
+   * A waiting job's answer rests on its ancestors as well: when one is cancelled, so is the job, however long it takes to
+   * write that down. Those that are known to be done needn't be asked about, nor those before a released job.
+   */
+  private keysOf(id: string, known: boolean): string[] {
+    if (!known) return [keys.commit(id), keys.job(id), keys.waiting(id)];
+    return [id, ...this.ancestorsOf(id)].map(keys.commit);
+  }
+
+  private ancestorsOf(id: string): string[] {
+    if (!this.mirror.waiting.has(id)) return [];
+    return this.mirror.waiters.ancestorsOf(id, (p) => this.finals.get(p)?.outcome === "done");
   }
 
   /** One comparing transaction shows for all that no commit exists; whoever fails it is read. */
@@ -98,19 +123,13 @@
     return Effect.gen(this, function* () {
       let left = batch;
       for (let round = 0; left.length > 0 && round < MAX_ROUNDS; round++) {
-        const when = [...new Set(left.flatMap((w) => this.keysOf(w)))].map((key): Condition => ({
-          key,
-          stamp: 0,
-        }));
-        // users' questions wait for this node's share, so that renewals and commits never do
-        const result = yield* this.state.commit(when, [], "later", PATIENCE);
-        if (result.ok === true) {
+        const failed = yield* this.existing([...new Set(left.flatMap((w) => w.keys))]);
+        if (failed !== null && failed.size === 0) {
           yield* Effect.forEach(left, (w) => this.passed(w), { concurrency: 8, discard: true });
           return;
         }
-        const failed = new Set(result.ok === false ? result.failed : []);
         const [bad, good] = [true, false].map((x) =>
-          left.filter((w) => this.keysOf(w).some((key) => failed.has(key)) === x),
+          left.filter((w) => w.keys.some((key) => failed?.has(key) ?? false) === x),
         ) as [Waiting[], Waiting[]];
         if (bad.length === 0) break;
         yield* Effect.forEach(bad, (w) => this.readFor(w), { concurrency: 8, discard: true });
@@ -120,12 +139,36 @@
     }).pipe(Effect.catchAll((error) => Effect.forEach(batch, (w) => this.fail(w, error), { discard: true })));
   }
 
+  /**
+   * Which of these keys exist; null: some do, and the state service doesn't say which. Commits stay for ever, so more
+   * keys than one transaction compares are asked for one transaction after the other.
+   */
+  private existing(all: readonly string[]): Effect.Effect<Set<string> | null, StateError> {
+    return Effect.gen(this, function* () {
+      const found = new Set<string>();
+      for (let at = 0; at < all.length; at += this.conditions) {
+        const when = all.slice(at, at + this.conditions).map((key): Condition => ({ key, stamp: 0 }));
+        // users' questions wait for this node's share, so that renewals and commits never do
+        const result = yield* this.state.commit(when, [], "later", PATIENCE);
+        if (result.ok === true) continue;
+        if (result.ok === null || result.failed.length === 0) return null;
+        for (const key of result.failed) found.add(key);
+      }
+      return found;
+    });
+  }
+
   private passed(w: Waiting): Effect.Effect<boolean> {
     if (!w.known) return this.succeed(w, { kind: "absent" });
     const job = this.mirror.jobs.get(w.id);
-    // it ended in the meantime
-    if (job === undefined) return this.readFor(w);
-    return this.succeed(w, { kind: "open", stamp: job.stamp, tasks: job.spec.tasks });
+    const waiting = this.mirror.waiting.get(w.id);
+    // it ended in the meantime, or more was heard of what it waits for
+    if (job === undefined && this.ancestorsOf(w.id).some((p) => !w.keys.includes(keys.commit(p))))
+      return this.readFor(w);
+    const known = job ?? waiting;
+    if (known === undefined) return this.readFor(w);
+    const { stamp, spec } = known;
+    return this.succeed(w, { kind: "open", stamp, tasks: spec.tasks, waiting: job === undefined });
   }
 
   private readFor(w: Waiting): Effect.Effect<boolean> {
@@ -136,8 +179,9 @@
   }
 
   /**
-   * The commit first: it is final. Then the job and the commit once more, in this order: a commit replaces the job in
-   * one transaction, so a job that is missing and then has no commit either was not accepted when the question came.
+   * The commit first: it is final. Then what a job is in the course of its life, in this order: a waiting job's record
+   * is replaced by the released one's in one transaction, and that by the commit. So a job of which nothing was found
+   * was not accepted when the question came.
    */
   read(id: string, patience?: Duration.Duration): Effect.Effect<Standing, StateError> {
     const urgency = patience === undefined ? "first" : "later";
@@ -146,19 +190,69 @@
       if (known !== undefined) return { kind: "final", commit: known } as const;
       const first = yield* this.state.get(keys.commit(id), urgency, patience);
       if (first !== null) return this.final(id, first.value as CommitRecord);
+      const row = yield* this.state.get(keys.waiting(id), urgency, patience);
+      if (row !== null) {
+        const seen = this.mirror.putWaiting(row.key, row.value, row.stamp);
+        if (seen === "malformed")
+          return yield* Effect.fail(new Unavailable({ why: `the record of ${id} can't be read` }));
+        if (seen !== "over")
+          return yield* this.readWaiting(id, row.stamp, seen.spec.tasks, urgency, patience);
+      }
       const job = yield* this.state.get(keys.job(id), urgency, patience);
       if (job !== null) {
         const seen = this.mirror.put(job.key, job.value, job.stamp);
         // it is there, so it is no 404, whatever is wrong with it
         if (seen === "malformed")
           return yield* Effect.fail(new Unavailable({ why: `the record of ${id} can't be read` }));
-        if (seen !== "over") return { kind: "open", stamp: job.stamp, tasks: seen.spec.tasks } as const;
+        if (seen !== "over")
+          return { kind: "open", stamp: job.stamp, tasks: seen.spec.tasks, waiting: false } as const;
       }
       const commit = yield* this.state.get(keys.commit(id), urgency, patience);
       return commit === null ? ({ kind: "absent" } as const) : this.final(id, commit.value as CommitRecord);
     });
   }
 
+  /** A waiting job is what its record says, unless one that it needs was cancelled: then it is cancelled as well. */
+  private readWaiting(
+    id: string,
+    stamp: number,
+    tasks: number,
+    urgency: "first" | "later",
+    patience: Duration.Duration | undefined,
+  ): Effect.Effect<Standing, StateError> {
+    return Effect.gen(this, function* () {
+      const asked = new Set<string>();
+      for (;;) {
+        const parent = this.ancestorsOf(id).find((p) => !asked.has(p));
+        if (parent === undefined) return { kind: "open", stamp, tasks, waiting: true } as const;
+        asked.add(parent);
+        const commit = yield* this.state.get(keys.commit(parent), urgency, patience);
+        if (commit === null) continue;
+        const record = commit.value as CommitRecord;
+        this.remember(parent, record);
+        if (record.outcome === "cancelled") return this.final(id, yield* this.cancelWaiting(id, tasks));
+      }
+    });
+  }
+
+  /**
+   * A parent's outcome passes on: this waiting job is cancelled as well. It can't have been released, since all parents
+   * have to be done for that, so the only commit that it may have already says the same.
+   */
+  cancelWaiting(id: string, tasks: number): Effect.Effect<CommitRecord, StateError> {
+    return Effect.gen(this, function* () {
+      const commit: CommitRecord = { outcome: "cancelled", tasks };
+      const result = yield* this.state.commit(
+        [{ key: keys.commit(id), stamp: 0 }],
+        [{ put: keys.commit(id), value: commit }, { delete: keys.waiting(id) }, { delete: keys.fanin(id) }],
+      );
+      if (result.ok === null) return yield* Effect.fail(new Unavailable({ why: result.error }));
+      this.remember(id, commit);
+      this.mirror.remove(id);
+      return commit;
+    });
+  }
+
   private final(id: string, commit: CommitRecord): Standing {
     this.remember(id, commit);
     return { kind: "final", commit };
