--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -113,3 +113,58 @@
   assert.ok(answers.every((a) => a._tag === "Right" && a.right.kind === "absent"));
   assert.ok(asked[0]!.includes("commit/req-9"), asked[0]!.join(" "));
 });
+
+test("a waiting job's answer rests on all before it: an ancestor's cancel counts before anybody passed it on", async () => {
+  const commits = new Map([["commit/req-1", { outcome: "cancelled", tasks: 1 }]]);
+  const compared: string[][] = [];
+  const written: string[] = [];
+  const fake = {
+    commit: (when: { key: string }[], apply: { put?: string; value?: unknown }[]) => {
+      if (apply.length === 0) compared.push(when.map((c) => c.key));
+      const failed = when.map((c) => c.key).filter((key) => commits.has(key));
+      if (failed.length > 0) return Effect.succeed({ ok: false, failed } as const);
+      for (const c of apply)
+        if (c.put !== undefined) {
+          written.push(c.put);
+          commits.set(c.put, c.value as { outcome: string; tasks: number });
+        }
+      return Effect.succeed({ ok: true, revision: 9 } as const);
+    },
+    get: (key: string) => {
+      const value = commits.get(key) ?? (key.startsWith(keys.waitings) ? mirrored(key) : undefined);
+      return Effect.succeed(value === undefined ? null : { key, value, stamp: 1 });
+    },
+  } as unknown as StateClient;
+  const record = (ref: string, awaits: string[]) => ({
+    ...{ ref, roster: "maps", crew: "red", shape: "array", urgency: "normal", chores: 2, vcpus: 1 },
+    ...{ mem_gb: 1, bundle: "img", image_gb: 1, awaits },
+  });
+  const mirror = new Mirror(fake, log);
+  const mirrored = (key: string) => mirror.waiting.get(key.slice(keys.waitings.length))?.record;
+  mirror.put(keys.job("req-1"), record("req-1", []), 1);
+  // chain 2 <- 3 <- 4, and one that needs none of them
+  for (const [id, awaits] of [
+    ["req-2", ["req-1"]],
+    ["req-3", ["req-2"]],
+    ["req-4", ["req-3"]],
+    ["req-5", ["req-6"]],
+  ] as const)
+    mirror.putWaiting(keys.waiting(id), record(id, [...awaits]), 1);
+  // fewer conditions than the chain is long
+  const status = new Status(fake, mirror, 3);
+  const ask = (id: string) => Effect.runPromise(status.of(id));
+  const last = await ask("req-4");
+  assert.deepEqual(last, { kind: "final", commit: { outcome: "cancelled", tasks: 2 } });
+  assert.deepEqual(written, ["commit/req-4"]);
+  assert.equal((await ask("req-5")).kind, "open");
+  assert.ok(
+    compared.every((keys) => keys.length <= 3),
+    JSON.stringify(compared),
+  );
+  // a parent that is done needn't be asked about again
+  commits.set("commit/req-6", { outcome: "done", tasks: 1 });
+  assert.equal((await ask("req-5")).kind, "open");
+  compared.length = 0;
+  assert.equal((await ask("req-5")).kind, "open");
+  assert.deepEqual(compared, [["commit/req-5"]]);
+});
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -163,6 +163,111 @@
   });
 });
 
+test("a pipeline: each job starts when all that it awaits are done, and says queued until then", async () => {
+  const bad: [unknown, number][] = [
+    [{ awaits: "req-000001" }, 400],
+    [{ awaits: [7] }, 400],
+    [{ awaits: ["run-1"] }, 400],
+    [{ awaits: ["req-000101"] }, 400],
+    [{ awaits: Array.from({ length: 4000 }, (_, i) => `req-${i}`) }, 400],
+    [{ awaits: ["req-000001", "req-000199"] }, 422],
+  ];
+  for (const [more, status] of bad)
+    assert.equal((await ask("POST", "/v2/runs", job("req-000101", more as object))).status, status);
+  // null, empty and left out are the same
+  for (const [ref, awaits] of [
+    ["req-000101", null],
+    ["req-000102", []],
+  ] as const)
+    assert.equal((await ask("POST", "/v2/runs", job(ref, { awaits }))).status, 201);
+  const last = job("req-000104", { awaits: ["req-000103", "req-000101"] });
+  const middle = job("req-000103", { awaits: ["req-000101", "req-000102", "req-000101"] });
+  assert.equal((await ask("POST", "/v2/runs", middle)).status, 201);
+  assert.equal((await ask("POST", "/v2/runs", last)).status, 201);
+  assert.ok(
+    ["queued", "running", "done"].includes(String((await ask("POST", "/v2/runs", last)).json["status"])),
+  );
+  await done("req-000104");
+  assert.equal((await ask("GET", "/v2/runs/req-000103")).json["status"], "done");
+  // a job after jobs that are over is released by its acceptance
+  assert.equal((await ask("POST", "/v2/runs", job("req-000105", { awaits: ["req-000104"] }))).status, 201);
+  await done("req-000105");
+  const at = (what: string): number[] => cloud.events.flatMap((e, i) => (e.startsWith(what) ? [i] : []));
+  for (const [child, ...parents] of [
+    ["req-000103", "req-000101", "req-000102"],
+    ["req-000104", "req-000103"],
+    ["req-000105", "req-000104"],
+  ] as const)
+    for (const parent of parents) {
+      assert.equal(at(`done ${parent}/`).length, 5);
+      assert.ok(
+        Math.min(...at(`start ${child}/`)) > Math.max(...at(`done ${parent}/`)),
+        `${child} ${parent}`,
+      );
+    }
+  await until("its sets are gone", () =>
+    Promise.resolve(![...state.rows.keys()].some((key) => /^job-(waiting|fanin)\/req-00010/.test(key))),
+  );
+});
+
+test("a cancel takes along all that needs the job, directly or through others, and what is submitted later", async () => {
+  assert.equal((await ask("POST", "/v2/runs", job("req-000119", { chores: 1 }))).status, 201);
+  const after = (ref: string, ...awaits: string[]) => ask("POST", "/v2/runs", job(ref, { awaits }));
+  assert.equal((await after("req-000112", "req-000119")).json["status"], "queued");
+  assert.equal((await after("req-000113", "req-000112", "req-000001")).json["status"], "queued");
+  assert.deepEqual((await ask("GET", "/v2/runs/req-000113")).json, {
+    ref: "req-000113",
+    status: "queued",
+    done: 0,
+    running: 0,
+  });
+  assert.equal((await ask("POST", "/v2/runs/req-000119/cancel")).json["status"], "aborted");
+  for (const ref of ["req-000112", "req-000113"]) {
+    await until(
+      `${ref} is cancelled`,
+      async () => (await ask("GET", `/v2/runs/${ref}`)).json["status"] === "aborted",
+    );
+    assert.equal((await ask("POST", `/v2/runs/${ref}/cancel`)).json["status"], "aborted");
+  }
+  // accepted all the same, and cancelled
+  const late = await after("req-000114", "req-000113");
+  assert.deepEqual(late, { status: 201, json: { ref: "req-000114", status: "aborted" } });
+  assert.equal((await after("req-000114", "req-000113")).status, 200);
+  // a job that waits can be called off by itself; a job after a done one isn't touched by a cancel that comes too late
+  assert.equal((await ask("POST", "/v2/runs", job("req-000129", { chores: 1 }))).status, 201);
+  assert.equal((await after("req-000122", "req-000129")).status, 201);
+  assert.equal((await ask("POST", "/v2/runs/req-000122/cancel")).json["status"], "aborted");
+  assert.notEqual((await ask("GET", "/v2/runs/req-000129")).json["status"], "aborted");
+  await ask("POST", "/v2/runs/req-000129/cancel");
+  assert.equal((await ask("POST", "/v2/runs/req-000001/cancel")).json["status"], "done");
+  assert.equal((await after("req-000123", "req-000001")).status, 201);
+  await done("req-000123");
+  assert.ok(![...state.rows.keys()].some((key) => /^job-waiting\/req-00011/.test(key)));
+});
+
+test("a join that was lost, and a cancel that wasn't passed on, are found again", async () => {
+  const record = (ref: string, awaits: string[]) => ({
+    ...job(ref, { awaits, chores: 1 }),
+    accepted_ms: Date.now(),
+  });
+  // as a controller leaves them that ended between a commit and what follows it
+  state.put("commit/req-000131", { outcome: "done", tasks: 1 });
+  state.put("job-fanin/req-000132", { joined: [], released: false });
+  state.put("job-waiting/req-000132", record("req-000132", ["req-000131"]));
+  state.put("commit/req-000141", { outcome: "cancelled", tasks: 1 });
+  state.put("job-fanin/req-000142", { joined: [], released: false });
+  state.put("job-waiting/req-000142", record("req-000142", ["req-000141", "req-000131"]));
+  state.put("job-fanin/req-000143", { joined: [], released: false });
+  state.put("job-waiting/req-000143", record("req-000143", ["req-000142"]));
+  await done("req-000132");
+  await until(
+    "the last is cancelled",
+    async () =>
+      state.rows.has("commit/req-000143") &&
+      (await ask("GET", "/v2/runs/req-000143")).json["status"] === "aborted",
+  );
+});
+
 test("while the state service is down users get 503 at once, and nothing older than they were told", async () => {
   state.down = true;
   assert.equal((await ask("POST", "/v2/runs", job("req-000003"))).status, 503);
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -170,6 +170,8 @@
   readonly rentals = new Map<string, string[]>();
   readonly up = new Map<string, { worker: WorkerStandIn; build: string }>();
   capacity = 4;
+  /** What happened to tasks, in order, on whatever machine. */
+  readonly events: string[] = [];
 
   constructor(private readonly front: () => string) {
     super();
@@ -196,7 +198,7 @@
       const got: string[] = [];
       while (got.length < Number(sent["how_many"]) && this.up.size < this.capacity) {
         const id = `n-${String(++this.made).padStart(6, "0")}`;
-        const worker = new WorkerStandIn(id, Boolean(sent["loaners"]), this.front);
+        const worker = new WorkerStandIn(id, Boolean(sent["loaners"]), this.front, this.events);
         await worker.start();
         worker.begin();
         this.up.set(id, { worker, build: String(sent["build"]) });
@@ -236,6 +238,7 @@
     private readonly id: string,
     readonly spot: boolean,
     private readonly front: () => string,
+    private readonly events: string[],
   ) {
     super();
   }
@@ -289,6 +292,7 @@
         Object.assign(chore, { status: "ended", cause: "stopped" });
       else if (o.verb === "start" && chore === undefined) {
         this.starts.push(o.chore);
+        this.events.push(`start ${o.chore}`);
         const started: { chore: string; try: number; status: string; cause?: string } = {
           chore: o.chore,
           try: o.try,
@@ -296,7 +300,10 @@
         };
         this.chores.set(key, started);
         if (!o.chore.split("/")[0]!.endsWith("9"))
-          setTimeout(() => Object.assign(started, { status: "ended", cause: "done" }), 50);
+          setTimeout(() => {
+            this.events.push(`done ${o.chore}`);
+            Object.assign(started, { status: "ended", cause: "done" });
+          }, 50);
       }
     }
     return [200, this.report()];
