Limits of the state service to come: sizes hold at both, rates fall on refusals

Values and transactions are sized by the smaller of today's limits and state.next from the start, since the moment is unannounced. A 429 takes a node to the lower rates for a minute, doubling up to ten when the next one follows soon. The stand-in state service knows limits.

--- a/src/io/schemas.ts
+++ b/src/io/schemas.ts
@@ -11,6 +11,15 @@
   properties,
 });
 
+const nullable = (schema: Record<string, unknown>) => ({ ...schema, nullable: true });
+
+const stateLimits = {
+  rps: positive,
+  write_rps: positive,
+  value_kb: positive,
+  txn_ops: { type: "integer", minimum: 4 },
+} as const;
+
 /** The file that the platform hands over. Fields it doesn't name are ignored. */
 export const platformSchema = object({
   member: text,
@@ -28,12 +37,18 @@
       },
       objectives: { type: "array", items: { type: "object" } },
       workers: object({ report_s: positive, lease_s: positive, cancel_s: positive }),
-      state: object({
-        rps: positive,
-        write_rps: positive,
-        value_kb: positive,
-        txn_ops: { type: "integer", minimum: 4 },
-      }),
+      state: object(
+        {
+          ...stateLimits,
+          next: nullable(
+            object(
+              Object.fromEntries(Object.entries(stateLimits).map(([name, shape]) => [name, nullable(shape)])),
+              Object.keys(stateLimits),
+            ),
+          ),
+        },
+        ["next"],
+      ),
       cloud: object({ rps: positive, list_lag_s: amount }),
       machine_limits: object(
         { core_share: positive, ram_mb: positive, max_connections: { type: "integer", minimum: 16 } },
--- a/src/io/settings.ts
+++ b/src/io/settings.ts
@@ -18,6 +18,9 @@
   readonly stateLimits: {
     readonly rps: number;
     readonly writeRps: number;
+    /** The rates from some unannounced moment on. */
+    readonly next: { readonly rps: number; readonly writeRps: number };
+    /** Sizes that hold before and after that moment: what is written must not depend on when it comes. */
     readonly valueKb: number;
     readonly txnOps: number;
   };
@@ -35,6 +38,13 @@
   readonly warmFor: Duration.Duration;
 }
 
+interface StateLimits {
+  rps: number;
+  write_rps: number;
+  value_kb: number;
+  txn_ops: number;
+}
+
 interface PlatformFile {
   member: string;
   domain: string;
@@ -46,7 +56,7 @@
     objectives?: { kind?: unknown; class?: unknown; within_s?: unknown }[];
     teams: { name: string; cpus: number; cpus_max: number; gpus: number; gpus_max: number }[];
     workers: { report_s: number; lease_s: number; cancel_s: number };
-    state: { rps: number; write_rps: number; value_kb: number; txn_ops: number };
+    state: StateLimits & { next?: { [Name in keyof StateLimits]?: number | null } | null };
     cloud: { rps: number; list_lag_s: number };
     machine_limits: { max_connections: number };
   };
@@ -122,8 +132,12 @@
     stateLimits: {
       rps: params.state.rps,
       writeRps: params.state.write_rps,
-      valueKb: params.state.value_kb,
-      txnOps: params.state.txn_ops,
+      next: {
+        rps: params.state.next?.rps ?? params.state.rps,
+        writeRps: params.state.next?.write_rps ?? params.state.write_rps,
+      },
+      valueKb: Math.min(params.state.value_kb, params.state.next?.value_kb ?? Infinity),
+      txnOps: Math.min(params.state.txn_ops, params.state.next?.txn_ops ?? Infinity),
     },
     cloudLimits: { rps: params.cloud.rps, listLag: Duration.seconds(params.cloud.list_lag_s) },
     maxConnections: params.machine_limits.max_connections,
--- a/src/io/state-client.ts
+++ b/src/io/state-client.ts
@@ -4,6 +4,7 @@
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
 import { Budget } from "../core/budget.js";
+import { type Rate, Rates } from "../core/rates.js";
 import type { Instant } from "../core/time.js";
 import { type Call, call, CallFailed, json, makeAgent, type Reply } from "./call.js";
 import { now } from "./clock.js";
@@ -35,15 +36,22 @@
   private readonly watchAgent: http.Agent = makeAgent(4);
   private readonly requests: Budget;
   private readonly changes: Budget;
+  private readonly rates: Rates;
+  /** The rates that this node's share is taken from, and that share. */
+  private inForce: Rate;
+  private share: number;
   private waiting = 0;
   /** Since when requests fail; null: the last one got an answer other than 503. */
   failingSince: Instant | null = null;
 
   constructor(
     private readonly addr: string,
-    private readonly limits: { rps: number; writeRps: number },
+    limits: Rate & { readonly next?: Rate },
     private readonly nodes: number,
   ) {
+    this.rates = new Rates(limits, limits.next);
+    this.inForce = this.rates.at(now());
+    this.share = 1 / nodes;
     this.requests = new Budget(limits.rps / nodes);
     this.changes = new Budget(limits.writeRps / nodes);
   }
@@ -51,9 +59,15 @@
   /** Whether this node leads: the leader's share is larger. */
   setLeading(leading: boolean): void {
     if (this.nodes === 1) return;
-    const share = leading ? LEADERS_SHARE : (1 - LEADERS_SHARE) / (this.nodes - 1);
-    this.requests.setRate(now(), this.limits.rps * share);
-    this.changes.setRate(now(), this.limits.writeRps * share);
+    this.share = leading ? LEADERS_SHARE : (1 - LEADERS_SHARE) / (this.nodes - 1);
+    this.setRates();
+  }
+
+  private setRates(): void {
+    const at = now();
+    this.inForce = this.rates.at(at);
+    this.requests.setRate(at, this.inForce.rps * this.share);
+    this.changes.setRate(at, this.inForce.writeRps * this.share);
   }
 
   private admit(
@@ -71,6 +85,7 @@
 
   private admitted(urgency: Urgency, changes: number): Effect.Effect<void, Unavailable> {
     return Effect.suspend(() => {
+      if (this.rates.at(now()) !== this.inForce) this.setRates();
       if (urgency === "first") {
         this.requests.takeFirst(now());
         if (changes > 0) this.changes.takeFirst(now(), changes);
@@ -114,6 +129,8 @@
         }
         this.failingSince = null;
         if (reply.status === 429) {
+          this.rates.refused(now());
+          this.setRates();
           this.requests.refused(now(), Duration.millis(300));
           this.changes.refused(now(), Duration.millis(300));
           return Effect.fail(new Unavailable({ why: "429" }));
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
+import { loadSettings } from "../src/io/settings.js";
 
 const MAIN = new URL("../../main.js", import.meta.url).pathname;
 const ROOT = new URL("../../../", import.meta.url).pathname;
@@ -43,6 +44,30 @@
   assert.match(result.stdout, /^ok: one in east/);
 });
 
+test("limits to come: each may be missing or null, and sizes hold at both", () => {
+  const load = (next: unknown) =>
+    loadSettings(
+      file("next.json", {
+        ...platform,
+        params: { ...platform.params, state: { ...platform.params.state, next } },
+      }),
+      undefined,
+    ).stateLimits;
+  const today = { rps: 10, writeRps: 10, next: { rps: 10, writeRps: 10 }, valueKb: 16, txnOps: 16 };
+  for (const nothing of [undefined, null, {}, { value_kb: null, txn_ops: null, rps: null, write_rps: null }])
+    assert.deepEqual(load(nothing), today);
+  assert.deepEqual(load({ value_kb: 2 }), { ...today, valueKb: 2 });
+  assert.deepEqual(load({ write_rps: 6, txn_ops: 5 }), {
+    ...today,
+    next: { rps: 10, writeRps: 6 },
+    txnOps: 5,
+  });
+  // sizes that will grow: nobody knows when
+  assert.deepEqual(load({ value_kb: 64, txn_ops: 99 }), today);
+  for (const bad of [7, { value_kb: 0 }, { txn_ops: 2 }, { rps: "9" }])
+    assert.throws(() => load(bad), /next/);
+});
+
 test("a bad file ends with one line that names the field, and code 2", () => {
   const bad: [string, string[], RegExp][] = [
     ["missing", ["check", "--config", join(dir, "nothing.json")], /nothing\.json: can't be read/],
--- /dev/null
+++ b/test/rates.test.ts
@@ -0,0 +1,88 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import * as Duration from "effect/Duration";
+import { Budget } from "../src/core/budget.js";
+import { Rates } from "../src/core/rates.js";
+import { instant } from "../src/core/time.js";
+
+/** A state service whose rate of changes falls, and nodes that want to write more than it ever takes. */
+const simulate = (spanS: number, fallS: number, lowered: boolean) => {
+  const rates = { rps: 100, writeRps: 25 };
+  const nodes = Array.from({ length: 3 }, () => {
+    const own = new Rates(rates, { rps: 100, writeRps: 18 });
+    return { rates: own, budget: new Budget(rates.writeRps / 3), rate: rates.writeRps, next: 0 };
+  });
+  let served = 0;
+  let tokens = 25;
+  const refusals: number[] = [];
+  for (let at = 0; at < spanS * 1000; at += 5) {
+    const limit = lowered && at >= fallS * 1000 ? 18 : 25;
+    tokens = Math.min(limit, tokens + limit * 0.005);
+    for (const n of nodes) {
+      if (at < n.next) continue;
+      const rate = n.rates.at(instant(at)).writeRps;
+      if (rate !== n.rate) n.budget.setRate(instant(at), rate / 3);
+      n.rate = rate;
+      const wait = Duration.toMillis(n.budget.take(instant(at)));
+      n.next = at + wait;
+      if (wait > 0) continue;
+      if (tokens >= 1) {
+        tokens--;
+        served++;
+      } else {
+        refusals.push(at);
+        n.rates.refused(instant(at));
+        n.budget.refused(instant(at), Duration.millis(300));
+      }
+    }
+  }
+  return { served, refusals };
+};
+
+test("when the service's rate falls, few changes are refused, and fewer as time goes on", () => {
+  const { served, refusals } = simulate(3600, 60, true);
+  const between = (fromS: number, toS: number): number =>
+    refusals.filter((at) => at >= fromS * 1000 && at < toS * 1000).length;
+  assert.ok(refusals.length <= 60, `${refusals.length} refused`);
+  assert.ok(between(1860, 3600) <= 24, `${between(1860, 3600)} refused in the last half hour`);
+  // four of each node's at most, of some 180 that are served in that time
+  for (let s = 0; s < 3600; s += 10) assert.ok(between(s, s + 10) <= 12, `${between(s, s + 10)} at ${s} s`);
+  // and what the service takes is used
+  assert.ok(served > 0.9 * 18 * 3600, `${served} served`);
+});
+
+test("a rate that doesn't fall is used in full, but for a while after a refusal", () => {
+  const { served, refusals } = simulate(600, 0, false);
+  assert.ok(refusals.length <= 3, `${refusals.length} refused`);
+  assert.ok(served > 0.9 * 25 * 600, `${served} served`);
+});
+
+test("the lower rates stay for a minute, and for longer when a refusal follows soon", () => {
+  const low = { rps: 80, writeRps: 18 };
+  const rates = new Rates({ rps: 100, writeRps: 25 }, low);
+  const lowAt = (s: number): boolean => rates.at(instant(s * 1000)).writeRps === 18;
+  const refused = (s: number): void => rates.refused(instant(s * 1000));
+  assert.equal(lowAt(0), false);
+  refused(0);
+  refused(30);
+  assert.deepEqual([lowAt(0), lowAt(59), lowAt(60)], [true, true, false]);
+  assert.deepEqual(rates.at(instant(0)), low);
+  refused(61);
+  assert.deepEqual([lowAt(180), lowAt(181)], [true, false]);
+  let at = 181;
+  for (const span of [240, 480, 600, 600]) {
+    refused(at);
+    assert.deepEqual([lowAt(at + span - 1), lowAt(at + span)], [true, false]);
+    at += span;
+  }
+  refused(at + 3600);
+  assert.equal(lowAt(at + 3600 + 60), false);
+});
+
+test("without lower rates to come nothing changes", () => {
+  const today = { rps: 100, writeRps: 25 };
+  for (const rates of [new Rates(today), new Rates(today, { rps: 200, writeRps: 25 })]) {
+    rates.refused(instant(0));
+    assert.deepEqual(rates.at(instant(1)), today);
+  }
+});
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -42,6 +42,13 @@
   /** What the next requests are answered, in place of the truth. */
   failing: { status: number; carriedOut: boolean }[] = [];
   down = false;
+  /** Limits of one transaction, which may fall at any time; the whole of it never has more than 64 KiB. */
+  limits = { valueKb: Infinity, txnOps: Infinity };
+  /** So many of the next changes are carried out, then further ones get 429 until this is set anew. */
+  changesLeft = Infinity;
+  /** What was refused for its size or for the rate, by the first key it would have changed. */
+  readonly tooLarge: string[] = [];
+  readonly tooMany: string[] = [];
 
   private change(key: string, stamp: number, value?: unknown, permit?: number): void {
     if (value === undefined) this.rows.delete(key);
@@ -152,6 +159,23 @@
       value?: unknown;
       permit?: number;
     }[];
+    const first = apply[0]?.write ?? apply[0]?.delete ?? "";
+    const { valueKb, txnOps } = this.limits;
+    const sizeOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value) ?? "");
+    if (
+      apply.length > txnOps ||
+      when.length > 4 * txnOps ||
+      sizeOf(sent) > 64 * 1024 ||
+      apply.some((c) => sizeOf(c.value) > valueKb * 1024)
+    ) {
+      this.tooLarge.push(first);
+      return [400, { error: "too large" }];
+    }
+    if (apply.length > this.changesLeft) {
+      this.tooMany.push(first);
+      return [429, {}];
+    }
+    this.changesLeft -= apply.length;
     if (apply.some((c) => c.permit !== undefined && !this.grants.has(c.permit)))
       return [400, { error: "no such lease" }];
     const failed = when.filter((w) => (this.rows.get(w.path)?.stamp ?? 0) !== w.stamp).map((w) => w.path);
