Everything written fits both limits; larger old records of machines are split; no 400 is repeated in a tight loop

Records of machines are packed by measured bytes. A block whose rest is larger than a value may be is split into new blocks and deleted in one transaction; a test applies late copies of any write in any order. News through the state service shrink until they fit. Types too large for a value aren't written, and each node asks the cloud. What the service refuses as it is gets growing pauses, smaller transactions, or fails the request.

--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -4,7 +4,7 @@
  */
 import * as Duration from "effect/Duration";
 import { type Range, RangeSet, windows } from "./ranges.js";
-import { type Instant, passed } from "./time.js";
+import { type Instant, passed, plus } from "./time.js";
 import { keys, type Order, type TermRecord, type WorkerReport } from "./records.js";
 import type { OrderOutcome } from "./scheduler.js";
 import { answerToken, ownerOf } from "./term.js";
@@ -66,6 +66,10 @@
 
 const COMES_BACK_WITHIN = Duration.seconds(30);
 const GIVE_UP_AFTER = Duration.seconds(30);
+/** A write that the state service refuses as it is gives way to other jobs' for so long. */
+const REFUSED_PAUSE = Duration.seconds(30);
+/** News of other kinds that go with each report when little fits into a message. */
+const A_REPORT = 4;
 const MAX_JOBS = 20_000;
 const MAX_SENT_AWAY = 5000;
 
@@ -259,13 +263,14 @@
     return out;
   }
 
-  /** The answer to one job's writes; `over`: its commit record exists. */
-  storeAnswered(w: Writing, result: "stored" | "over" | "failed", now: Instant): void {
+  /** The answer to one job's writes; `over`: its commit record exists; `refused`: not to be sent like this again. */
+  storeAnswered(w: Writing, result: "stored" | "over" | "failed" | "refused", now: Instant): void {
     const f = this.finishes.get(w.job);
     if (f === undefined) return;
     f.writing = false;
     if (result === "over") this.jobOver(w.job);
     if (result === "failed") f.unanswered++;
+    if (result === "refused") f.since = plus(now, REFUSED_PAUSE);
     if (result !== "stored") return;
     for (const put of w.puts) {
       f.written.set(put.chunk, put.text);
@@ -286,8 +291,9 @@
     this.outcomes.push({ id, outcome, session: report?.session ?? 0, seq: report?.seq ?? 0 });
   }
 
-  /** What the leader has not heard yet. What isn't delivered is put back with `putBack`. */
+  /** What the leader has not heard yet, at most so much. What isn't delivered is put back with `putBack`. */
   news(now: Instant, mostReports = Infinity): News {
+    const most = mostReports * A_REPORT;
     const reports: AgedReport[] = [];
     for (const machine of this.unsent) {
       if (reports.length >= mostReports) break;
@@ -298,23 +304,35 @@
     const age = (at: Instant | null): number => (at === null ? -1 : Math.max(0, now - at));
     const seen: Seen[] = [];
     for (const machine of this.touched) {
+      if (seen.length >= most) break;
+      this.touched.delete(machine);
       const w = this.workers.get(machine);
       if (w !== undefined) seen.push({ machine, answeredMs: age(w.answeredAt), heardMs: age(w.heardAt) });
     }
-    this.touched.clear();
+    let ranges = most;
     const stored: { job: string; ranges: Range[] }[] = [];
     for (const job of this.untold) {
+      if (ranges <= 0) break;
+      this.untold.delete(job);
       const f = this.finishes.get(job);
       if (f === undefined) continue;
-      stored.push({ job, ranges: f.untold.ranges() });
-      f.untold = new RangeSet();
+      const all = f.untold.ranges();
+      const told = all.slice(0, ranges);
+      ranges -= told.length;
+      stored.push({ job, ranges: told });
+      f.untold = RangeSet.of(all.slice(told.length));
+      if (f.untold.size > 0) this.untold.add(job);
     }
-    this.untold.clear();
-    const outcomes = this.outcomes;
-    this.outcomes = [];
+    const outcomes = this.outcomes.slice(0, most);
+    this.outcomes = this.outcomes.slice(outcomes.length);
     return { reports, seen, stored, outcomes };
   }
 
+  /** Whether the last news named every worker answered before; only then may the member vouch for the others. */
+  namedAll(): boolean {
+    return this.touched.size === 0;
+  }
+
   putBack(news: News): void {
     for (const { report } of news.reports)
       if (this.workers.has(report.machine)) this.unsent.add(report.machine);
--- a/src/io/schemas.ts
+++ b/src/io/schemas.ts
@@ -97,8 +97,6 @@
   },
 } as const;
 
-const nullable = (schema: Record<string, unknown>) => ({ ...schema, nullable: true });
-
 const submission = {
   ref: { type: "string", pattern: "^req-[0-9]{1,18}$" },
   roster: text,
--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -164,10 +164,12 @@
       const parsed = parseSubmission(body);
       if (typeof parsed === "string") return problem(400, parsed);
       const { wire, spec } = parsed;
-      const bytes = Buffer.byteLength(JSON.stringify(jobRecord(wire, new Date())));
-      if (bytes > this.options.valueKb * 1024) return problem(400, "too large to be stored");
       if (this.mirror.isUnfinished(spec.id)) return yield* this.repeated(spec.id);
       if (this.mirror.types.length === 0) return unsure("machine types are not known yet");
+      const bytes = Buffer.byteLength(JSON.stringify(jobRecord(wire, new Date())));
+      // one that was accepted when values could be larger stays accepted
+      if (bytes > this.options.valueKb * 1024)
+        return yield* this.refused(spec.id, problem(400, "too large to be stored"));
       const why = hopeless(spec, this.options.teams, this.mirror.types);
       if (why !== null) return yield* this.refused(spec.id, problem(422, why));
       return yield* spec.awaits.length === 0 ? this.accept(wire) : this.acceptAfter(wire, spec.awaits);
@@ -230,7 +232,8 @@
       const largest = [releasedRecord(record, new Date()), full].map((x) =>
         Buffer.byteLength(JSON.stringify(x)),
       );
-      if (Math.max(...largest) > limit) return problem(400, "too large to be stored");
+      if (Math.max(...largest) > limit)
+        return yield* this.refused(id, problem(400, "too large to be stored"));
       const stale = new Set<string>();
       for (let tries = 0; tries < ACCEPT_TRIES; tries++) {
         const parents = yield* Effect.forEach(awaits, (p) => this.parent(p, stale.has(p)), {
@@ -356,7 +359,10 @@
           this.log.info({ job: id }, "cancelled");
           return answer(200, jobAnswer(id, "cancelled"));
         }
-        if (result.ok === null) break;
+        if (result.ok === null) {
+          this.log.warn({ job: id, error: result.error }, "a cancel was refused by the state service");
+          break;
+        }
       }
       return unsure("not decided");
     });
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -3,6 +3,7 @@
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import type { FleetOptions } from "../core/fleet.js";
+import { jsonBytes, pack, TXN_BYTES, valueBytes } from "../core/packing.js";
 import { ProgressLog } from "../core/progress.js";
 import {
   type CommitRecord,
@@ -26,7 +27,7 @@
 import type { Log } from "../io/log.js";
 import type { Delivery, Progress, Sync, SyncAnswer } from "../io/peer-codec.js";
 import type { StateClient } from "../io/state-client.js";
-import { Blocks } from "./blocks.js";
+import { Blocks, opsOf } from "./blocks.js";
 import { Guarded } from "./guarded.js";
 import { collect } from "./mailbox.js";
 import type { Member } from "./member.js";
@@ -34,6 +35,7 @@
 import type { Mirror, MirroredJob, WaitingJob } from "./mirror.js";
 import type { Peers } from "./peers.js";
 import type { Releases } from "./releases.js";
+import { Refusals } from "./refusals.js";
 import { Signal } from "./signal.js";
 
 export interface LeaderOptions {
@@ -57,10 +59,13 @@
 /** Every node asks the state service for something more often than this. */
 const NOTICED_WITHIN = Duration.millis(1200);
 const MAX_ENDED = 4000;
-/** Machines in one record, and records that one sweep shortens: a transaction holds 64 KiB. */
-const BYTES_A_MACHINE = 200;
+/** Machines in one record at most, however many would fit: each that goes has the rest of them written anew. */
 const MAX_IN_BLOCK = 40;
-const MAX_REWRITES = 6;
+/** A refused record of machines is tried again with fewer, down to this. */
+const LEAST_BLOCK = 256;
+/** How long the types may be missing in the state service before this node asks the cloud itself; how often it does. */
+const TYPES_MISSED = Duration.seconds(5);
+const LEARN_TYPES_EVERY = Duration.seconds(30);
 const ORDERS_IN_TERM = 1_000_000_000;
 
 interface Pending {
@@ -93,6 +98,14 @@
   private fibers: Fiber.RuntimeFiber<unknown, unknown>[] = [];
   private members = new Map<string, { at: Instant; ok: boolean }>();
   private readonly zones = new ZoneWatch();
+  private readonly refusals: Refusals;
+  /** What one value may hold; a record of machines, which comes down when one is refused; changes of one sweep. */
+  private readonly valueBytes: number;
+  private blockBytes: number;
+  private sweepOps: number;
+  private sweeps = 0;
+  /** Whether the types have changed since they were last written. */
+  private typesUnwritten = false;
 
   constructor(
     private readonly options: LeaderOptions,
@@ -107,6 +120,10 @@
   ) {
     mirror.onWaiting = (job) => this.waitingSeen(job);
     mirror.onWaitingOver = (id) => this.guarded?.with((s) => s.waitingOver(id));
+    this.refusals = new Refusals(log);
+    this.valueBytes = valueBytes(options.valueKb);
+    this.blockBytes = this.valueBytes;
+    this.sweepOps = options.txnOps;
     mirror.onJob = (job) => this.jobSeen(job);
     mirror.onOver = (id) => this.jobOver(id);
     mirror.onTypes = (types) => this.guarded?.with((s) => s.setTypes(types));
@@ -439,6 +456,8 @@
           ...(this.mirror.fanins.has(id) ? [{ delete: keys.fanin(id) }] : []),
         ],
       );
+      if (result.ok === null) yield* Effect.sleep(this.refusals.refused("commit of a job", result.error, id));
+      else this.refusals.accepted("commit of a job", id);
       if (result.ok === true) {
         this.log.info({ job: id, term: this.membership.term?.token }, "done");
         this.ended.set(id, tasks);
@@ -466,12 +485,13 @@
   private recordLoop(leadership: Leadership) {
     return Effect.gen(this, function* () {
       yield* Effect.sleep(Duration.millis(100));
-      const fit = Math.floor((this.options.valueKb * 1024) / BYTES_A_MACHINE);
-      const most = Math.max(1, Math.min(MAX_IN_BLOCK, fit));
-      const batch = this.records.splice(0, most);
-      if (batch.length === 0) return;
-      const key = keys.machinesOf(`${this.membership.term?.token}-${++this.batches}`);
-      const machines = Object.fromEntries(batch.map((b) => [b.id, b.record]));
+      const waiting = this.records.slice(0, MAX_IN_BLOCK).map((b) => [b.id, b.record] as const);
+      const machines = pack(waiting, this.blockBytes)[0];
+      if (machines === undefined) return;
+      let count = 0;
+      while (count < this.records.length && this.records[count]!.id in machines) count++;
+      const batch = this.records.splice(0, count);
+      const key = this.newBlock();
       // also when the answer is lost: what may be written has to be deleted some day
       this.blocks.add(key, machines);
       const result = yield* this.state
@@ -489,10 +509,18 @@
           else s.recordFailed(b.id);
       });
       this.stepNow.poke();
-      if (result?.ok !== true) yield* Effect.sleep(Duration.millis(300));
+      if (result?.ok === true) this.refusals.accepted("record of machines");
+      else if (result?.ok === null) {
+        this.blockBytes = Math.max(LEAST_BLOCK, Math.floor(this.blockBytes / 2));
+        yield* Effect.sleep(this.refusals.refused("record of machines", result.error));
+      } else yield* Effect.sleep(Duration.millis(300));
     }).pipe(Effect.forever);
   }
 
+  /** A name that no other record of machines ever has. */
+  private readonly newBlock = (): string =>
+    keys.machinesOf(`${this.membership.term?.token}-${++this.batches}`);
+
   /** Deletes and shortens, without haste, what is of no more use: rentals, ranges, records of machines gone. */
   private readonly sweepLoop = Effect.gen(this, function* () {
     yield* Effect.sleep(SWEEP_EVERY);
@@ -508,22 +536,41 @@
       for (const id of this.mirror.fanins.keys())
         if (this.mirror.isOver(id) && !this.mirror.isUnfinished(id)) this.useless.add(keys.fanin(id));
     }
-    const deletes = [...this.useless].slice(0, Math.max(1, this.options.txnOps - MAX_REWRITES));
-    const rewrites = this.blocks.changed(MAX_REWRITES);
+    // a split may need a whole transaction, and so may what is of no more use: they go first in turns
+    const room = { valueBytes: this.valueBytes, txnBytes: TXN_BYTES, newKey: this.newBlock };
+    const firstDeletes = ++this.sweeps % 2 === 0 ? [...this.useless].slice(0, this.sweepOps) : [];
+    const rewrites = this.blocks.changed(this.sweepOps - firstDeletes.length, room);
+    const left = this.sweepOps - rewrites.reduce((sum, r) => sum + opsOf(r), 0);
+    const deletes = [...this.useless].slice(0, left);
     if (deletes.length + rewrites.length === 0) return;
+    const created = rewrites.flatMap((r) => r.pieces);
     const result = yield* this.state.commit(
-      [{ key: keys.leader, stamp: leadership.stamp }],
+      [{ key: keys.leader, stamp: leadership.stamp }, ...created.map(({ key }) => ({ key, stamp: 0 }))],
       [
         ...deletes.map((key) => ({ delete: key })),
+        ...created.map(({ key, machines }): Change => ({ put: key, value: { machines } })),
         ...rewrites.map(({ key, machines }): Change =>
           machines === null ? { delete: key } : { put: key, value: { machines } },
         ),
       ],
       "later",
     );
-    if (result.ok !== true) return;
-    for (const key of deletes) this.useless.delete(key);
-    this.blocks.written(rewrites);
+    if (result.ok === null) {
+      this.blocks.refused(rewrites);
+      this.sweepOps = Math.max(1, Math.floor(this.sweepOps / 2));
+      yield* Effect.sleep(this.refusals.refused("sweep", result.error));
+      return;
+    }
+    this.refusals.accepted("sweep");
+    if (result.ok) {
+      this.sweepOps = Math.min(this.options.txnOps, this.sweepOps + 1);
+      for (const key of deletes) this.useless.delete(key);
+      this.blocks.written(rewrites);
+    } else {
+      // a piece that exists: an earlier copy of its split, whose answer was lost, was carried out
+      const { failed } = result;
+      this.blocks.written(rewrites.filter((r) => r.pieces.some((p) => failed.includes(p.key))));
+    }
   }).pipe(Effect.ignore, Effect.forever);
 
   // --- cloud -------------------------------------------------------------------------------------------
@@ -557,6 +604,10 @@
       const stored = yield* this.state
         .commit([{ key: keys.leader, stamp: leadership.stamp }], [{ put: keys.rental(name), value: record }])
         .pipe(Effect.orElseSucceed(() => null));
+      if (stored?.ok === true) this.refusals.accepted("rental");
+      else if (stored?.ok === null)
+        // as long as it counts as asked for, no other takes its place
+        yield* Effect.sleep(this.refusals.refused("rental", stored.error));
       if (stored?.ok !== true) {
         // not sent: the name is never used again
         this.guarded?.with((s) => s.fleet.asked.delete(name));
@@ -632,14 +683,9 @@
     this.mirror.setTypes(rows);
     const same = (a: typeof old, b: typeof old) =>
       a.length === b.length && a.every((t, i) => t.name === b[i]!.name && t.cpus === b[i]!.cpus);
+    this.typesUnwritten ||= !same(old, this.mirror.types);
     const leadership = this.membership.leadership;
-    if (leadership !== null && !same(old, this.mirror.types))
-      yield* this.state
-        .commit(
-          [{ key: keys.leader, stamp: leadership.stamp }],
-          [{ put: keys.types, value: rows satisfies WireType[] }],
-        )
-        .pipe(Effect.ignore);
+    if (leadership !== null && this.typesUnwritten) yield* this.writeTypes(rows, leadership);
     this.stepNow.poke();
     yield* Effect.sleep(Duration.seconds(30));
   }).pipe(
@@ -647,5 +693,32 @@
     Effect.forever,
   );
 
-  readonly run = this.watchMembers;
+  private writeTypes(rows: readonly WireType[], leadership: Leadership) {
+    return Effect.gen(this, function* () {
+      if (jsonBytes(rows) > this.valueBytes) {
+        this.refusals.refused("types", "more than a value may hold: every node asks the cloud for them");
+        return;
+      }
+      const result = yield* this.state.commit(
+        [{ key: keys.leader, stamp: leadership.stamp }],
+        [{ put: keys.types, value: rows satisfies readonly WireType[] }],
+      );
+      if (result.ok === null) this.refusals.refused("types", result.error);
+      else this.typesUnwritten = false;
+    }).pipe(Effect.ignore);
+  }
+
+  /** Types that aren't in the state service, being too many for one value: a node that doesn't lead asks as well. */
+  private readonly learnTypes = Effect.gen(this, function* () {
+    yield* Effect.sleep(TYPES_MISSED);
+    if (this.mirror.types.length > 0 || this.membership.leadership !== null) return;
+    const rows = yield* this.cloud.types();
+    this.mirror.setTypes(rows);
+    yield* Effect.sleep(LEARN_TYPES_EVERY);
+  }).pipe(
+    Effect.catchAll(() => Effect.sleep(LEARN_TYPES_EVERY)),
+    Effect.forever,
+  );
+
+  readonly run = Effect.all([this.watchMembers, this.learnTypes], { concurrency: 2, discard: true });
 }
--- a/src/service/mailbox.ts
+++ b/src/service/mailbox.ts
@@ -5,28 +5,39 @@
  */
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
+import { jsonBytes, valueBytes } from "../core/packing.js";
 import { keys } from "../core/records.js";
 import type { Log } from "../io/log.js";
 import { type Sync, syncCodec } from "../io/peer-codec.js";
 import type { StateClient } from "../io/state-client.js";
 
-/** Bytes of news in one value, before they are written as text; and values in one transaction. */
-const PIECE = 9000;
+const MAX_PIECE = 9000;
 const MAX_PIECES = 4;
 
+/** Bytes of news in one value, before they are written as text; and values in one transaction. */
+export interface PieceLimits {
+  readonly bytes: number;
+  readonly most: number;
+}
+
+export const pieceLimits = (valueKb: number, txnOps: number): PieceLimits => {
+  const text = valueBytes(valueKb) - jsonBytes({ of: MAX_PIECES, data: "" });
+  return { bytes: Math.min(MAX_PIECE, Math.floor(text / 4) * 3), most: Math.min(MAX_PIECES, txnOps) };
+};
+
 interface Piece {
   readonly of: number;
   readonly data: string;
 }
 
 /** The transaction's values for this piece of news; null: too much for one. */
-export const toPieces = (sync: Sync): Piece[] | null => {
+export const toPieces = (sync: Sync, limits: PieceLimits): Piece[] | null => {
   const bytes = syncCodec.encode(sync);
-  const of = Math.ceil(bytes.length / PIECE);
-  if (of > MAX_PIECES) return null;
+  const of = Math.ceil(bytes.length / limits.bytes);
+  if (of > limits.most) return null;
   return Array.from({ length: of }, (_, i) => ({
     of,
-    data: bytes.subarray(i * PIECE, (i + 1) * PIECE).toString("base64"),
+    data: bytes.subarray(i * limits.bytes, (i + 1) * limits.bytes).toString("base64"),
   }));
 };
 
@@ -40,13 +51,22 @@
   }
 };
 
-export const post = (state: StateClient, me: string, permit: number, sync: Sync): Effect.Effect<boolean> => {
-  const pieces = toPieces(sync);
-  if (pieces === null) return Effect.succeed(false);
+/** `too large` for us, or `refused` by the service: less might be taken. */
+export type Posted = "posted" | "failed" | "too large" | { readonly refused: string };
+
+export const post = (
+  state: StateClient,
+  me: string,
+  permit: number,
+  sync: Sync,
+  limits: PieceLimits,
+): Effect.Effect<Posted> => {
+  const pieces = toPieces(sync, limits);
+  if (pieces === null) return Effect.succeed("too large");
   const puts = pieces.map((value, i) => ({ put: keys.news(me, i), value, permit }));
   return state.commit([], puts).pipe(
-    Effect.map((r) => r.ok === true),
-    Effect.orElseSucceed(() => false),
+    Effect.map((r): Posted => (r.ok === null ? { refused: r.error } : r.ok ? "posted" : "failed")),
+    Effect.orElseSucceed((): Posted => "failed"),
   );
 };
 
--- a/src/service/member.ts
+++ b/src/service/member.ts
@@ -2,6 +2,7 @@
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
 import type { WorkerReport } from "../core/records.js";
+import { TXN_BYTES, valueBytes } from "../core/packing.js";
 import { keys, type TermRecord } from "../core/records.js";
 import { type BeatAnswer, Part, type Writing } from "../core/part.js";
 import { type Instant, passed } from "../core/time.js";
@@ -11,13 +12,17 @@
 import type { Deliver, Delivered, Delivery, Sync, SyncAnswer } from "../io/peer-codec.js";
 import type { StateClient } from "../io/state-client.js";
 import type { WorkerClient } from "../io/worker-client.js";
-import { post } from "./mailbox.js";
+import { type PieceLimits, pieceLimits, post } from "./mailbox.js";
 import type { Membership } from "./membership.js";
 import type { Peers } from "./peers.js";
+import { Refusals } from "./refusals.js";
 import { Signal } from "./signal.js";
 
-/** Bytes of one ranges record: so small that a full transaction stays under its limit. */
+/** Bytes of one ranges record; with its key, a condition and names it needs so much more of a transaction. */
 const RANGES_BYTES = 3000;
+const BYTES_BESIDE = 400;
+export const rangesBytes = (valueKb: number, txnOps: number): number =>
+  Math.min(RANGES_BYTES, valueBytes(valueKb), Math.floor(TXN_BYTES / txnOps) - BYTES_BESIDE);
 const SYNC_EVERY = Duration.seconds(1);
 /** News that come together go together: each message costs the same, however much it holds. */
 const SYNC_GATHER = Duration.millis(100);
@@ -48,6 +53,12 @@
   private reachedLeader: Instant = now();
   private posted: Instant | null = null;
   private pruned: Instant = now();
+  private readonly pieces: PieceLimits;
+  private readonly refusals: Refusals;
+  /** How much goes into one post and one transaction of finishes: less once that was too large. */
+  private postReports = POST_REPORTS;
+  private postPause = POST_EVERY;
+  private storePuts: number;
   /** Whether the other nodes reach the state service, by their own word: node -> (when said, reaches it). */
   readonly others = new Map<string, { at: Instant; ok: boolean }>();
   readonly progress = new Map<string, { done: number; running: number }>();
@@ -68,7 +79,11 @@
     private readonly peers: Peers,
     private readonly log: Log,
   ) {
-    this.part = new Part(options.me, Math.min(RANGES_BYTES, options.valueKb * 1024), STORE_GATHER);
+    const { valueKb, txnOps } = options;
+    this.part = new Part(options.me, rangesBytes(valueKb, txnOps), STORE_GATHER);
+    this.pieces = pieceLimits(valueKb, txnOps);
+    this.storePuts = txnOps;
+    this.refusals = new Refusals(log);
   }
 
   /** Whether this node reaches the state service. */
@@ -131,14 +146,16 @@
       this.version = -1;
       this.markToken = token;
     }
+    const news = this.part.news(now(), this.leaderIsCut() ? this.postReports : Infinity);
     return {
       token,
       member: this.options.me,
       incarnation: this.membership.incarnation,
-      mark: this.mark,
+      // the proof by time: a word on some workers says nothing of the others
+      mark: this.part.namedAll() ? this.mark : -1,
       version: this.version,
       stateOk: this.stateOk(),
-      ...this.part.news(now(), this.leaderIsCut() ? POST_REPORTS : Infinity),
+      ...news,
     };
   }
 
@@ -172,11 +189,21 @@
   private post(sync: Sync): Effect.Effect<boolean> {
     const { permit } = this.membership;
     if (!this.leaderIsCut() || permit === null || !this.membership.entitled()) return Effect.succeed(false);
-    if (this.posted !== null && !passed(now(), this.posted, POST_EVERY)) return Effect.succeed(false);
+    if (this.posted !== null && !passed(now(), this.posted, this.postPause)) return Effect.succeed(false);
     this.posted = now();
-    return Effect.tap(post(this.state, this.options.me, permit, sync), (ok) =>
-      Effect.sync(() => this.log.info({ ok, reports: sync.reports.length }, "news left for the leader")),
-    );
+    return Effect.map(post(this.state, this.options.me, permit, sync, this.pieces), (posted) => {
+      const refused = typeof posted === "object";
+      this.postReports =
+        refused || posted === "too large"
+          ? Math.max(1, Math.floor(this.postReports / 2))
+          : Math.min(POST_REPORTS, this.postReports + 1);
+      this.postPause = refused
+        ? Duration.max(POST_EVERY, this.refusals.refused("news", posted.refused))
+        : POST_EVERY;
+      if (posted === "posted") this.refusals.accepted("news");
+      this.log.info({ posted, reports: sync.reports.length }, "news left for the leader");
+      return posted === "posted";
+    });
   }
 
   private told(leader: string, answer: SyncAnswer): void {
@@ -218,11 +245,22 @@
       );
       const result = yield* this.state
         .commit(when, apply, "later")
-        .pipe(Effect.catchAll((e) => Effect.succeed({ ok: null, error: e.why } as const)));
-      if (result.ok === null) this.log.debug({ why: result.error }, "finishes not stored yet");
+        .pipe(Effect.catchAll((e) => Effect.succeed({ ok: null, error: e.why, why: e._tag } as const)));
+      const refused = result.ok === null && !("why" in result);
+      // which one is too large isn't known until it goes alone; it then gives way to the others
+      const alone = apply.length <= 1;
+      if (refused) {
+        this.storePuts = Math.max(1, Math.floor(this.storePuts / 2));
+        yield* Effect.sleep(this.refusals.refused("finishes", result.error));
+      } else if (result.ok === null) this.log.debug({ why: result.error }, "finishes not stored yet");
+      else {
+        this.refusals.accepted("finishes");
+        this.storePuts = Math.min(this.options.txnOps, this.storePuts + 1);
+      }
       for (const w of writings) {
         const over = result.ok === false && result.failed.includes(keys.commit(w.job));
-        this.part.storeAnswered(w, result.ok === true ? "stored" : over ? "over" : "failed", now());
+        const failed = refused && alone ? "refused" : "failed";
+        this.part.storeAnswered(w, result.ok === true ? "stored" : over ? "over" : failed, now());
       }
       this.wake();
       return result.ok === true || (result.ok === false && result.failed.length > 0);
@@ -234,7 +272,7 @@
     let answered = true;
     while (answered && this.membership.permit !== null) {
       const writer = `${this.options.me}.${this.membership.incarnation}`;
-      const writings = this.part.toStore(writer, this.options.txnOps, now(), this.isOpen);
+      const writings = this.part.toStore(writer, this.storePuts, now(), this.isOpen);
       if (writings.length === 0) break;
       answered = yield* this.write(writings);
     }
--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -13,7 +13,8 @@
 import { now } from "../io/clock.js";
 import type { Row } from "../io/codec.js";
 import type { Log } from "../io/log.js";
-import type { StateClient } from "../io/state-client.js";
+import type { CommitResult, StateClient } from "../io/state-client.js";
+import { Refusals } from "./refusals.js";
 import { Signal } from "./signal.js";
 
 export interface Leadership {
@@ -39,6 +40,7 @@
   /** The revision up to which `rows` miss nothing. */
   private watched = 0;
   private readonly renewNow = new Signal();
+  private readonly refusals: Refusals;
   readonly changed = new Signal();
   onTerm: (term: TermRecord) => void = () => undefined;
   onLost: () => void = () => undefined;
@@ -53,7 +55,16 @@
     private readonly ask: (member: string, token: number) => Effect.Effect<boolean>,
     /** When the last read that showed every ended job was sent. */
     private readonly read: () => Instant | null,
-  ) {}
+  ) {
+    this.refusals = new Refusals(log);
+  }
+
+  /** A refused record isn't sent again at once, whoever asks for it. */
+  private settled(what: string, result: CommitResult): Effect.Effect<void> {
+    if (result.ok === null) return Effect.sleep(this.refusals.refused(what, result.error));
+    this.refusals.accepted(what);
+    return Effect.void;
+  }
 
   /**
    * May this node answer workers (not: send orders) right now? Either a renewal of its own shows the term current,
@@ -133,6 +144,8 @@
       [{ key: keys.member(this.me), stamp: 0 }],
       [{ put: keys.member(this.me), value: record, permit }],
     );
+    if (done.ok === null) yield* Effect.ignore(this.state.revoke(permit));
+    yield* this.settled("member", done);
     if (done.ok !== true) return;
     this.permit = permit;
     this.incarnation = done.revision;
@@ -246,6 +259,7 @@
     const result = yield* this.state
       .commit([{ key: keys.leader, stamp: 0 }], [{ put: keys.leader, value: record, permit }])
       .pipe(
+        Effect.tap((r) => this.settled("leader", r)),
         Effect.map((r) => (r.ok === true ? r.revision : null)),
         // the answer was lost: reread
         Effect.catchTag("Unanswered", () =>
@@ -295,6 +309,7 @@
       )
       .pipe(Effect.tapErrorTag("Unavailable", () => notBegun));
     if (result.ok !== true) yield* notBegun;
+    yield* this.settled("term", result);
     if (result.ok === true) {
       this.setTerm({ key: keys.term, value: term, stamp: result.revision });
       return true;
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -22,7 +22,7 @@
 import { parseReport, parseSubmission, readJob } from "../src/io/codec.js";
 import { deliveredCodec, syncCodec } from "../src/io/peer-codec.js";
 import { Blocks } from "../src/service/blocks.js";
-import { fromPieces, toPieces } from "../src/service/mailbox.js";
+import { fromPieces, pieceLimits, toPieces } from "../src/service/mailbox.js";
 import { TEAMS, TYPES } from "./model.js";
 
 test("a range set agrees with a plain set, whatever is added and taken out", () => {
@@ -361,7 +361,7 @@
     JSON.parse(JSON.stringify(sync)),
   );
   assert.equal(deliveredCodec.decode(deliveredCodec.encode({ accepted: true })).accepted, true);
-  const pieces = toPieces(sync)!;
+  const pieces = toPieces(sync, pieceLimits(16, 16))!;
   assert.deepEqual(JSON.parse(JSON.stringify(fromPieces(pieces))), JSON.parse(JSON.stringify(sync)));
   assert.equal(fromPieces([{ of: 2, data: pieces[0]!.data }]), null);
   assert.equal(fromPieces([{ of: 1, data: "????" }]), null);
--- /dev/null
+++ b/test/limits.test.ts
@@ -0,0 +1,333 @@
+/** Everything that is written, as large as it can become, under today's limits and those to come. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import * as Duration from "effect/Duration";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Backoff } from "../src/core/backoff.js";
+import { jsonBytes, pack, TXN_BYTES, valueBytes } from "../src/core/packing.js";
+import { Part } from "../src/core/part.js";
+import { windows } from "../src/core/ranges.js";
+import type {
+  CommitRecord,
+  LeaderRecord,
+  MachineRecord,
+  MemberRecord,
+  RentalRecord,
+  TermRecord,
+  WorkerReport,
+} from "../src/core/records.js";
+import { tokenOf } from "../src/core/term.js";
+import { instant } from "../src/core/time.js";
+import { type Change, type Condition, jobRecord, parseSubmission, state } from "../src/io/codec.js";
+import { Blocks, opsOf, type Room } from "../src/service/blocks.js";
+import { fromPieces, pieceLimits, toPieces } from "../src/service/mailbox.js";
+import { rangesBytes } from "../src/service/member.js";
+
+const LIMITS = [
+  { valueKb: 16, txnOps: 20 },
+  { valueKb: 16, txnOps: 16 },
+  { valueKb: 2, txnOps: 6 },
+  { valueKb: 2, txnOps: 5 },
+  { valueKb: 2, txnOps: 20 },
+  { valueKb: 16, txnOps: 5 },
+];
+const NAME = "a-rather-long-name-of-something-in-a-far-away-place".padEnd(60, "x");
+const BIG = 9_007_199_254_740_991;
+
+/** What the state service checks. */
+const assertFits = (
+  limits: (typeof LIMITS)[number],
+  when: readonly Condition[],
+  apply: readonly Change[],
+) => {
+  assert.ok(apply.length <= limits.txnOps, `${apply.length} changes`);
+  assert.ok(when.length <= 4 * limits.txnOps, `${when.length} conditions`);
+  for (const c of apply)
+    if ("put" in c) assert.ok(jsonBytes(c.value) <= limits.valueKb * 1024, `${c.put}: ${jsonBytes(c.value)}`);
+  const total = Buffer.byteLength(state.commitBody(when, apply));
+  assert.ok(total <= 64 * 1024, `${total} bytes in all`);
+};
+const machine = (n: number): [string, MachineRecord] => [
+  `n-${String(n).padStart(58, "0")}`,
+  { type: NAME, zone: NAME, spot: false, addr: `255.255.255.255:${60_000 + (n % 5000)}` },
+];
+
+test("records of one thing each fit", () => {
+  const term: TermRecord = {
+    token: BIG,
+    key: BIG,
+    leader: NAME,
+    members: Array.from({ length: 9 }, (_, i) => ({ name: `${i}${NAME}`, incarnation: BIG, zone: NAME })),
+  };
+  const member: MemberRecord = { zone: NAME, permit: BIG };
+  const leader: LeaderRecord = { member: NAME, permit: BIG };
+  const rental: RentalRecord = { type: NAME, zone: NAME, spot: false, count: 50 };
+  const commit: CommitRecord = { outcome: "cancelled", tasks: 100_000 };
+  const submission = parseSubmission(
+    JSON.stringify({
+      ref: `req-${"9".repeat(18)}`,
+      roster: NAME,
+      crew: NAME,
+      shape: "ensemble",
+      urgency: "critical",
+      chores: 100_000,
+      vcpus: 0.123456789,
+      gpus: 0.123456789,
+      mem_gb: 1234.123456789,
+      bundle: NAME,
+      image_gb: 1234.123456789,
+      builds: Array.from({ length: 12 }, () => NAME),
+      district: NAME,
+      together: false,
+      apart: false,
+      loaners: false,
+      expected_s: 12345.123456789,
+      bookmark_s: 12345.123456789,
+      stash_s: 12345.123456789,
+      due_s: 12345.123456789,
+    }),
+  );
+  assert.ok(typeof submission !== "string");
+  const job = jobRecord(submission.wire, new Date());
+  for (const limits of LIMITS)
+    for (const value of [term, member, leader, rental, commit, job])
+      assertFits(limits, [{ key: NAME, stamp: BIG }], [{ put: NAME, value }]);
+});
+
+test("a full transaction of ranges fits, whatever has finished", () => {
+  const everySecond = Array.from({ length: 50_000 }, (_, i) => [2 * i, 2 * i + 1] as const);
+  for (const limits of LIMITS) {
+    const bytes = rangesBytes(limits.valueKb, limits.txnOps);
+    const all = [...windows(everySecond, bytes).values()].map((ranges) => ({ ranges }));
+    const largest = all.sort((a, b) => jsonBytes(b) - jsonBytes(a)).slice(0, limits.txnOps);
+    assertFits(
+      limits,
+      largest.map((_, i) => ({ key: `commit/req-${i}${"9".repeat(17)}`, stamp: 0 })),
+      largest.map((value, i) => ({ put: `ranges/req-${"9".repeat(18)}/${NAME}.${BIG}/${i}`, value })),
+    );
+  }
+});
+
+test("machines are packed by what they measure", () => {
+  const many = Array.from({ length: 300 }, (_, i) => machine(i));
+  for (const limits of LIMITS) {
+    const pieces = pack(many, valueBytes(limits.valueKb), 40);
+    assert.deepEqual(Object.assign({}, ...pieces), Object.fromEntries(many));
+    for (const machines of pieces) {
+      assert.ok(Object.keys(machines).length <= 40);
+      assertFits(limits, [], [{ put: NAME, value: { machines } }]);
+    }
+    // no piece is begun before the one before it is nearly full
+    assert.ok(
+      pieces.length <=
+        2 + Math.max(300 / 40, (jsonBytes(Object.fromEntries(many)) * 1.2) / valueBytes(limits.valueKb)),
+    );
+  }
+  assert.deepEqual(pack([], 100), []);
+  // one that is too large by itself hides no other
+  assert.equal(pack([machine(1), machine(2)], 10).length, 2);
+});
+
+const newsOf = (count: number): { part: Part; report: (n: number, seq: number) => WorkerReport } => {
+  const part = new Part("a", 1000, Duration.seconds(4));
+  part.setTerm({ token: 1, key: 1, leader: "b", members: [{ name: "a", incarnation: 1, zone: "east" }] });
+  const report = (n: number, seq: number): WorkerReport => ({
+    machine: `n-${n}`,
+    addr: "10.1.0.232:9000",
+    type: NAME,
+    zone: "east",
+    spot: true,
+    session: 1,
+    seq,
+    token: tokenOf(1),
+    noticeS: null,
+    tasks: [0, 1, 2, 3].map((index) => ({
+      job: "req-000412",
+      index,
+      attempt: seq,
+      state: "running",
+      why: null,
+    })),
+  });
+  for (let n = 0; n < count; n++) part.beat(report(n, 1), true, 1, instant(n));
+  return { part, report };
+};
+
+test("news are cut into pieces that fit, and what is left over comes next", () => {
+  for (const limits of LIMITS) {
+    const { part } = newsOf(700);
+    const reports = new Set<string>();
+    const seen = new Set<string>();
+    let most = 60;
+    for (let rounds = 0; reports.size < 700 || seen.size < 700; rounds++) {
+      assert.ok(rounds < 200, `${reports.size} reports, ${seen.size} seen`);
+      const news = part.news(instant(1000), most);
+      // a word that doesn't name everyone who was answered must not pass for one that does
+      assert.equal(part.namedAll(), [...seen, ...news.seen].length >= 700);
+      const sync = { token: 1, member: "a", incarnation: 1, mark: -1, version: -1, stateOk: true, ...news };
+      const pieces = toPieces(sync, pieceLimits(limits.valueKb, limits.txnOps));
+      if (pieces === null) {
+        part.putBack(news);
+        most = Math.floor(most / 2);
+        assert.ok(most >= 1);
+        continue;
+      }
+      assertFits(
+        limits,
+        [],
+        pieces.map((value, i) => ({ put: `news/${NAME}/${i}`, value, permit: BIG })),
+      );
+      const got = fromPieces(pieces)!;
+      for (const r of got.reports) reports.add(r.report.machine);
+      for (const s of got.seen) seen.add(s.machine);
+    }
+  }
+});
+
+test("finishes refused as they are give way to others for a while", () => {
+  const { part, report } = newsOf(1);
+  const done = (job: string, seq: number) =>
+    part.take(
+      { ...report(0, seq), tasks: [{ job, index: 0, attempt: 1, state: "exited", why: "done" }] },
+      instant(0),
+    );
+  done("req-1", 2);
+  done("req-2", 3);
+  const next = (at: number) => part.toStore("a.1", 1, instant(at), () => true);
+  const [first] = next(5000);
+  assert.equal(first!.job, "req-1");
+  part.storeAnswered(first!, "refused", instant(5000));
+  const [second] = next(5001);
+  assert.equal(second!.job, "req-2");
+  part.storeAnswered(second!, "stored", instant(5001));
+  assert.deepEqual(next(20_000), []);
+  assert.equal(next(40_000)[0]!.job, "req-1");
+});
+
+test("pauses after refusals grow up to half a minute, and are short again after a success", () => {
+  const backoff = new Backoff();
+  const pauses = Array.from({ length: 12 }, () => Duration.toMillis(backoff.refused()));
+  assert.deepEqual(pauses.slice(0, 4), [250, 500, 1000, 2000]);
+  assert.equal(pauses.at(-1), 30_000);
+  backoff.accepted();
+  assert.equal(Duration.toMillis(backoff.refused()), 250);
+});
+
+interface Txn {
+  readonly absent: readonly string[];
+  readonly puts: readonly { key: string; machines: Readonly<Record<string, MachineRecord>> }[];
+  readonly deletes: readonly string[];
+}
+
+test("blocks: whatever late copies are carried out in whatever order, no machine that lives is hidden", () => {
+  let splits = 0;
+  let lateSplits = 0;
+  for (let seed = 0; seed < 150; seed++) {
+    const random = xoroshiro128plus(seed);
+    const upTo = (n: number): number => uniformInt(random, 0, n - 1);
+    const store = new Map<string, readonly string[]>();
+    const live = new Set<string>();
+    const sent: Txn[] = [];
+    const blocks = new Blocks();
+    const limits = [
+      { valueKb: 2, txnOps: 5 },
+      { valueKb: 2, txnOps: 6 },
+      { valueKb: 16, txnOps: 20 },
+    ][seed % 3]!;
+    let names = 0;
+    const newKey = (): string => `machines/1-${++names}`;
+    const room: Room = { valueBytes: valueBytes(limits.valueKb), txnBytes: TXN_BYTES, newKey };
+    /** The failed conditions; none: it was carried out. */
+    const apply = (t: Txn): string[] => {
+      const failed = t.absent.filter((key) => store.has(key));
+      if (failed.length > 0) return failed;
+      for (const { key, machines } of t.puts) store.set(key, Object.keys(machines));
+      for (const key of t.deletes) store.delete(key);
+      return [];
+    };
+    const check = (what: string): void => {
+      const covered = new Set([...store.values()].flat());
+      for (const id of live) assert.ok(covered.has(id), `seed ${seed}: ${id} is hidden after ${what}`);
+    };
+    let made = 0;
+    // what an earlier version left: more machines in a record than will fit
+    for (let b = 0; b < 4; b++) {
+      const machines = Object.fromEntries(Array.from({ length: 2 + upTo(30) }, () => machine(++made)));
+      const key = newKey();
+      store.set(key, Object.keys(machines));
+      blocks.add(key, machines);
+      for (const id of Object.keys(machines)) live.add(id);
+    }
+    for (let step = 0; step < 120; step++) {
+      const what = upTo(10);
+      if (what < 4 && live.size > 0) {
+        const id = [...live][upTo(live.size)]!;
+        live.delete(id);
+        blocks.remove(id);
+      } else if (what < 5) {
+        const [machines] = pack(
+          Array.from({ length: 1 + upTo(12) }, () => machine(++made)),
+          room.valueBytes,
+        );
+        const key = newKey();
+        blocks.add(key, machines!);
+        const open: Txn = { absent: [key], puts: [{ key, machines: machines! }], deletes: [] };
+        sent.push(open);
+        // without an answer nothing is started on these machines under this record
+        if (upTo(3) > 0 && apply(open).length === 0) for (const id of Object.keys(machines!)) live.add(id);
+      } else if (what < 8) {
+        const rewrites = blocks.changed(limits.txnOps, room);
+        const pieces = rewrites.flatMap((r) => r.pieces);
+        splits += rewrites.filter((r) => r.pieces.length > 0).length;
+        const t: Txn = {
+          absent: pieces.map((p) => p.key),
+          puts: [
+            ...pieces,
+            ...rewrites.flatMap((r) => (r.machines === null ? [] : [{ key: r.key, machines: r.machines }])),
+          ],
+          deletes: rewrites.flatMap((r) => (r.machines === null ? [r.key] : [])),
+        };
+        assert.equal(
+          t.puts.length + t.deletes.length,
+          rewrites.reduce((sum, r) => sum + opsOf(r), 0),
+        );
+        assertFits(
+          limits,
+          [{ key: "cluster/leader", stamp: BIG }, ...t.absent.map((key) => ({ key, stamp: 0 }))],
+          [
+            ...t.puts.map(({ key, machines }) => ({ put: key, value: { machines } })),
+            ...t.deletes.map((key) => ({ delete: key })),
+          ],
+        );
+        const outcome = upTo(5);
+        if (outcome === 0) {
+          // too large after all: this copy isn't carried out, whatever becomes of earlier ones
+          blocks.refused(rewrites);
+        } else {
+          sent.push(t);
+          // carried out and answered, carried out without an answer, or neither for now
+          if (outcome <= 3) {
+            const failed = apply(t);
+            if (outcome <= 2 && failed.length === 0) blocks.written(rewrites);
+            else if (outcome <= 2)
+              blocks.written(rewrites.filter((r) => r.pieces.some((p) => failed.includes(p.key))));
+          }
+        }
+      } else if (sent.length > 0) {
+        const late = sent[upTo(sent.length)]!;
+        if (apply(late).length === 0 && late.absent.length > 1) lateSplits++;
+      }
+      check(`step ${step}`);
+    }
+    // once all are answered, what is gone is no longer in the blocks that are known
+    for (const id of live) blocks.remove(id);
+    for (let i = 0; i < 400; i++) {
+      const rewrites = blocks.changed(limits.txnOps, room);
+      if (rewrites.length === 0) break;
+      blocks.written(rewrites);
+    }
+    assert.deepEqual(blocks.changed(limits.txnOps, room), []);
+  }
+  assert.ok(splits > 100 && lateSplits > 10, `${splits} splits, ${lateSplits} late`);
+});
