Urgent changes keep to the rate after refusals; the limits fall over HTTP while jobs run

After a 429 urgent changes take turns at the rate in force instead of being refused together again; only what says who leads and who is a member goes at once. A controller is run over HTTP while sizes and rates fall, with an old record of machines that has to be split, commits refused as too large, and types too many for a value.

--- a/src/core/budget.ts
+++ b/src/core/budget.ts
@@ -1,11 +1,19 @@
 /** A node's share of a rate that all nodes have together: a token bucket without a clock of its own. */
 import * as Duration from "effect/Duration";
-import { type Instant, plus } from "./time.js";
+import { type Instant, passed, plus } from "./time.js";
+
+/** For how long after a refusal also the urgent keep to the rate, and how long each may wait for its turn. */
+const PACED_FOR = Duration.seconds(2);
+/** They keep a little below the rate, or what others write in between would have them refused again. */
+const PACE = 0.9;
+const LONGEST_TURN = Duration.seconds(1);
 
 export class Budget {
   private tokens: number;
   private filled: Instant | null = null;
   private closedUntil: Instant | null = null;
+  private refusedAt: Instant | null = null;
+  private nextTurn: Instant | null = null;
 
   constructor(
     private perSecond: number,
@@ -34,6 +42,23 @@
     this.tokens = Math.max(this.tokens - n, -this.burst);
   }
 
+  /**
+   * How long an urgent one waits before it goes. Usually not at all; but after a refusal all of them at once, each
+   * trying again, would only be refused again. null: too many wait, so it isn't worth being sent.
+   */
+  turn(now: Instant, n: number): Duration.Duration | null {
+    const recent = (at: Instant | null): boolean => at !== null && !passed(now, at, PACED_FOR);
+    // also while others wait: they would all go together
+    if (!recent(this.refusedAt) && !recent(this.nextTurn)) {
+      this.nextTurn = null;
+      return Duration.zero;
+    }
+    const at = this.nextTurn === null || this.nextTurn < now ? now : this.nextTurn;
+    if (passed(at, now, LONGEST_TURN)) return null;
+    this.nextTurn = plus(at, Duration.millis((n / this.perSecond / PACE) * 1000));
+    return Duration.millis(at - now);
+  }
+
   /** Takes `n` if it may; otherwise says how long to wait before asking again. */
   take(now: Instant, n = 1): Duration.Duration {
     this.fill(now);
@@ -48,6 +73,7 @@
 
   /** The other side said 429: nothing more for a while. */
   refused(now: Instant, span: Duration.Duration): void {
+    this.refusedAt = now;
     this.tokens = Math.min(this.tokens, 0);
     this.closedUntil = plus(now, span);
   }
--- a/src/io/state-client.ts
+++ b/src/io/state-client.ts
@@ -23,8 +23,11 @@
   | { readonly ok: false; readonly failed: readonly string[] }
   | { readonly ok: null; readonly error: string };
 
-/** Renewals, commits and what users wait for go first; the rest waits for this node's share. */
-export type Urgency = "first" | "later";
+/**
+ * Renewals, commits and what users wait for go first; the rest waits for this node's share. What says who leads and who
+ * is a member goes at once, also after refusals.
+ */
+export type Urgency = "vital" | "first" | "later";
 
 const TIMEOUT = Duration.seconds(1.5);
 const MAX_WAITING = 500;
@@ -86,10 +89,12 @@
   private admitted(urgency: Urgency, changes: number): Effect.Effect<void, Unavailable> {
     return Effect.suspend(() => {
       if (this.rates.at(now()) !== this.inForce) this.setRates();
-      if (urgency === "first") {
+      if (urgency !== "later") {
+        const turn = urgency === "first" && changes > 0 ? this.changes.turn(now(), changes) : Duration.zero;
+        if (turn === null) return Effect.fail(new Unavailable({ why: "too many changes wait" }));
         this.requests.takeFirst(now());
         if (changes > 0) this.changes.takeFirst(now(), changes);
-        return Effect.void;
+        return Duration.toMillis(turn) === 0 ? Effect.void : Effect.sleep(turn);
       }
       if (this.waiting >= MAX_WAITING) return Effect.fail(new Unavailable({ why: "too many requests wait" }));
       this.waiting++;
--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -143,6 +143,7 @@
     const done = yield* this.state.commit(
       [{ key: keys.member(this.me), stamp: 0 }],
       [{ put: keys.member(this.me), value: record, permit }],
+      "vital",
     );
     if (done.ok === null) yield* Effect.ignore(this.state.revoke(permit));
     yield* this.settled("member", done);
@@ -257,7 +258,7 @@
     }
     const record: LeaderRecord = { member: this.me, permit };
     const result = yield* this.state
-      .commit([{ key: keys.leader, stamp: 0 }], [{ put: keys.leader, value: record, permit }])
+      .commit([{ key: keys.leader, stamp: 0 }], [{ put: keys.leader, value: record, permit }], "vital")
       .pipe(
         Effect.tap((r) => this.settled("leader", r)),
         Effect.map((r) => (r.ok === true ? r.revision : null)),
@@ -306,6 +307,7 @@
           { key: keys.term, stamp: row?.stamp ?? 0 },
         ],
         [{ put: keys.term, value: term }],
+        "vital",
       )
       .pipe(Effect.tapErrorTag("Unavailable", () => notBegun));
     if (result.ok !== true) yield* notBegun;
--- /dev/null
+++ b/test/limits-service.test.ts
@@ -0,0 +1,194 @@
+/** One whole controller over HTTP while the limits of the state service fall. */
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, test } from "node:test";
+import { CloudStandIn, StateStandIn, WorkerStandIn } from "./standins.js";
+
+const MAIN = new URL("../../main.js", import.meta.url).pathname;
+const LIVE = 20;
+const LATER = { valueKb: 2, txnOps: 5 };
+/** What an earlier version wrote: twice as many machines as live, and more than a value will hold. */
+const OLD_BLOCK = "machines/0-1";
+
+const freePort = (): Promise<number> =>
+  new Promise((done) => {
+    const server = createServer();
+    server.listen(0, "127.0.0.1", () => {
+      const address = server.address();
+      server.close(() => done(typeof address === "object" && address !== null ? address.port : 0));
+    });
+  });
+const state = new StateStandIn();
+const cloud = new CloudStandIn(() => front);
+let front = "";
+const children: ChildProcess[] = [];
+
+const platform = async (member: string, on: StateStandIn, from: CloudStandIn) => ({
+  member,
+  domain: "east",
+  front: `127.0.0.1:${await freePort()}`,
+  peer_bind: `127.0.0.1:${await freePort()}`,
+  seeds: [] as object[],
+  external: { cloud: from.addr, state: on.addr },
+  params: {
+    zones: ["east"],
+    teams: [{ name: "red", cpus: 100, cpus_max: 200, gpus: 0, gpus_max: 0 }],
+    workers: { report_s: 0.2, lease_s: 3, cancel_s: 10 },
+    state: {
+      rps: 1000,
+      write_rps: 1000,
+      value_kb: 16,
+      txn_ops: 16,
+      next: { rps: 900, write_rps: 500, value_kb: LATER.valueKb, txn_ops: LATER.txnOps },
+    },
+    cloud: { rps: 50, list_lag_s: 1 },
+    machine_limits: { max_connections: 1000 },
+  },
+});
+const start = (settings: Awaited<ReturnType<typeof platform>>): void => {
+  const config = join(mkdtempSync(join(tmpdir(), "indigowick-")), "config.json");
+  writeFileSync(config, JSON.stringify(settings));
+  children.push(
+    spawn(process.execPath, [MAIN, "--config", config], {
+      stdio: ["ignore", "ignore", "inherit"],
+      env: { ...process.env, LOG_LEVEL: "error" },
+    }),
+  );
+};
+
+const ask = async (method: string, path: string, body?: unknown, at = front) => {
+  const response = await fetch(`http://${at}${path}`, {
+    method,
+    ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+  });
+  return { status: response.status, json: (await response.json()) as Record<string, unknown> };
+};
+/** Repeats until the answer fits; how long that takes is nobody's business here. */
+const until = async (what: string, fits: () => Promise<boolean> | boolean): Promise<void> => {
+  for (let i = 0; i < 1200; i++) {
+    if (await Promise.resolve(fits()).catch(() => false)) return;
+    await new Promise((done) => setTimeout(done, 50));
+  }
+  assert.fail(`never: ${what}`);
+};
+const job = (ref: string, more: object = {}): object => ({
+  ref,
+  roster: "maps",
+  crew: "red",
+  shape: "array",
+  urgency: "normal",
+  chores: 30,
+  vcpus: 1,
+  mem_gb: 1,
+  bundle: "img",
+  image_gb: 0.1,
+  ...more,
+});
+const submitted = (ref: string, more: object = {}): Promise<void> =>
+  until(`${ref} accepted`, async () =>
+    [200, 201].includes((await ask("POST", "/v2/runs", job(ref, more))).status),
+  );
+const done = (ref: string): Promise<void> =>
+  until(`${ref} done`, async () => (await ask("GET", `/v2/runs/${ref}`)).json["status"] === "done");
+const recorded = (): Set<string> => {
+  const blocks = [...state.rows].filter(([key]) => key.startsWith("machines/"));
+  return new Set(blocks.flatMap(([, row]) => Object.keys((row.value as { machines: object }).machines)));
+};
+
+before(async () => {
+  await state.start();
+  await cloud.start();
+  cloud.capacity = LIVE;
+  const machines: Record<string, object> = {};
+  for (let i = 0; i < 2 * LIVE; i++) {
+    const id = `n-${String(i).padStart(60, "0")}`;
+    let addr = "10.0.0.1:9000";
+    if (i < LIVE) {
+      const worker = new WorkerStandIn(id, false, () => front);
+      await worker.start();
+      worker.begin();
+      cloud.up.set(id, { worker, build: "small" });
+      ({ addr } = worker);
+    }
+    machines[id] = { type: "small", zone: "east", spot: false, addr };
+  }
+  state.put(OLD_BLOCK, { machines });
+  const one = await platform("one", state, cloud);
+  front = one.front;
+  start(one);
+  await until("the node is up", async () => (await ask("GET", "/up")).status === 200);
+});
+after(() => {
+  for (const child of children) child.kill("SIGKILL");
+  cloud.stop();
+  state.stop();
+});
+
+test("the limits fall while jobs run: nothing is too large, what is refused for the rate comes later", async () => {
+  // keeps every machine that lives, with room for one small task each
+  await submitted("req-000009", { shape: "daemon", urgency: "critical", chores: LIVE, vcpus: 3 });
+  await submitted("req-000001");
+  await until("it runs", async () => (await ask("GET", "/v2/runs/req-000009")).json["running"] === LIVE);
+  state.limits = { ...LATER };
+  state.changesLeft = 3;
+  const ids = [2, 3, 4, 5, 6, 7].map((n) => `req-00000${n}`);
+  const all = ids.map((id) => submitted(id));
+  await until("changes beyond the rate are refused", () => state.tooMany.length >= 3);
+  state.changesLeft = Infinity;
+  await Promise.all(all);
+  for (const id of ["req-000001", ...ids]) await done(id);
+  await until("the old record is split", () => !state.rows.has(OLD_BLOCK));
+  const covered = recorded();
+  for (const id of cloud.up.keys()) assert.ok(covered.has(id), id);
+  assert.deepEqual(state.tooLarge, []);
+});
+
+test("what is refused as too large is tried again rarely, and goes through once it may", async () => {
+  state.limits = { valueKb: 2, txnOps: 1 };
+  await submitted("req-000011");
+  const refused = (): number => state.tooLarge.filter((key) => key === "commit/req-000011").length;
+  await until("its commit is refused", () => refused() >= 2);
+  await new Promise((wait) => setTimeout(wait, 3000));
+  // pauses grow: in so much time there would otherwise be a dozen
+  assert.ok(refused() <= 6, `${refused()} attempts`);
+  state.limits = { ...LATER };
+  await done("req-000011");
+});
+
+test("a job that no longer fits is refused, but a repeat of one that was accepted isn't", async () => {
+  const large = { bundle: "x".repeat(3000) };
+  assert.equal((await ask("POST", "/v2/runs", job("req-000012", large))).status, 400);
+  state.put("commit/req-000013", { outcome: "done", tasks: 30 });
+  const answer = await ask("POST", "/v2/runs", job("req-000013", large));
+  assert.deepEqual(answer, { status: 200, json: { ref: "req-000013", status: "done" } });
+});
+
+test("types that are too many for one value aren't written, and every node knows them all the same", async () => {
+  const otherState = new StateStandIn();
+  const otherCloud = new CloudStandIn(() => "");
+  otherCloud.otherTypes = Array.from({ length: 30 }, (_, i) => `type-${i}`);
+  await otherState.start();
+  await otherCloud.start();
+  otherState.limits = { ...LATER };
+  try {
+    const one = await platform("one", otherState, otherCloud);
+    const two = await platform("two", otherState, otherCloud);
+    one.seeds.push({ member: "two", domain: "east", addr: two.peer_bind });
+    two.seeds.push({ member: "one", domain: "east", addr: one.peer_bind });
+    start(one);
+    start(two);
+    // what could never run is told only by those who know the types
+    const never = job("req-000021", { builds: ["type-29"], vcpus: 5 });
+    for (const at of [one.front, two.front])
+      await until("types are known", async () => (await ask("POST", "/v2/runs", never, at)).status === 422);
+    assert.ok(!otherState.rows.has("types"));
+    assert.deepEqual(otherState.tooLarge, []);
+  } finally {
+    otherCloud.stop();
+    otherState.stop();
+  }
+});
--- a/test/rates.test.ts
+++ b/test/rates.test.ts
@@ -51,6 +51,49 @@
   assert.ok(served > 0.9 * 18 * 3600, `${served} served`);
 });
 
+test("urgent changes that are each tried again until they succeed are no storm of refusals either", () => {
+  const rates = new Rates({ rps: 100, writeRps: 25 }, { rps: 100, writeRps: 18 });
+  const budget = new Budget(25);
+  let rate = 25;
+  let tokens = 25;
+  let refused = 0;
+  let served = 0;
+  // 400 that become due at once, when the service takes 18 a second
+  let due = Array.from({ length: 400 }, () => ({ at: 0, sent: false }));
+  let at = 0;
+  for (; due.length > 0 && at < 120_000; at += 5) {
+    tokens = Math.min(18, tokens + 18 * 0.005);
+    for (const one of due) {
+      if (one.at > at) continue;
+      if (!one.sent) {
+        const inForce = rates.at(instant(at)).writeRps;
+        if (inForce !== rate) budget.setRate(instant(at), inForce);
+        rate = inForce;
+        const turn = budget.turn(instant(at), 1);
+        one.at = at + (turn === null ? 250 : Duration.toMillis(turn));
+        one.sent = turn !== null;
+        if (one.at > at || !one.sent) continue;
+      }
+      one.sent = false;
+      if (tokens >= 1) {
+        tokens--;
+        served++;
+        one.at = Infinity;
+      } else {
+        refused++;
+        one.at = at + 250;
+        rates.refused(instant(at));
+        budget.refused(instant(at), Duration.millis(300));
+      }
+    }
+    due = due.filter((one) => one.at !== Infinity);
+  }
+  assert.equal(served, 400);
+  assert.ok(refused <= 20, `${refused} refused`);
+  // in little more time than the service needs for them
+  assert.ok(at < 30_000, `${at} ms`);
+});
+
 test("a rate that doesn't fall is used in full, but for a while after a refusal", () => {
   const { served, refusals } = simulate(600, 0, false);
   assert.ok(refusals.length <= 3, `${refusals.length} refused`);
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -50,6 +50,12 @@
   readonly tooLarge: string[] = [];
   readonly tooMany: string[] = [];
 
+  /** Watches that are open end too. */
+  override stop(): void {
+    this.down = true;
+    super.stop();
+  }
+
   private change(key: string, stamp: number, value?: unknown, permit?: number): void {
     if (value === undefined) this.rows.delete(key);
     else this.rows.set(key, { value, stamp, ...(permit === undefined ? {} : { permit }) });
@@ -196,6 +202,8 @@
   capacity = 4;
   /** What happened to tasks, in order, on whatever machine. */
   readonly events: string[] = [];
+  /** Types beside the one that is ever had. */
+  otherTypes: readonly string[] = [];
 
   constructor(private readonly front: () => string) {
     super();
@@ -206,7 +214,8 @@
     const path = (request.url ?? "").split("?")[0];
     if (path === "/flavors") {
       const build = { label: "small", vcpus: 4, gpus: 0, mem_gb: 8, cache_gb: 10, pull_gb_per_s: 1 };
-      return [200, { builds: [{ ...build, rate: 1, spot_price: 0.3, startup_s: 1, districts: ["east"] }] }];
+      const type = { ...build, rate: 1, spot_price: 0.3, startup_s: 1, districts: ["east"] };
+      return [200, { builds: [type, ...this.otherTypes.map((label) => ({ ...type, label }))] }];
     }
     if (path === "/rentals/release") {
       for (const id of sent["hearths"] as string[]) {
