--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -61,6 +61,8 @@
 const MAX_ENDED = 4000;
 /** Machines in one record at most, however many would fit: each that goes has the rest of them written anew. */
 const MAX_IN_BLOCK = 40;
+/** Changes to them in one sweep: they mustn't use up the rate. */
+const MAX_REWRITES = 6;
 /** A refused record of machines is tried again with fewer, down to this. */
 const LEAST_BLOCK = 256;
 /** How long the types may be missing in the state service before this node asks the cloud itself; how often it does. */
@@ -536,10 +538,10 @@
       for (const id of this.mirror.fanins.keys())
         if (this.mirror.isOver(id) && !this.mirror.isUnfinished(id)) this.useless.add(keys.fanin(id));
     }
-    // a split may need a whole transaction, and so may what is of no more use: they go first in turns
+    // a split may need a whole transaction, and so may what is of no more use: each goes first in its turn
     const room = { valueBytes: this.valueBytes, txnBytes: TXN_BYTES, newKey: this.newBlock };
     const firstDeletes = ++this.sweeps % 2 === 0 ? [...this.useless].slice(0, this.sweepOps) : [];
-    const rewrites = this.blocks.changed(this.sweepOps - firstDeletes.length, room);
+    const rewrites = this.blocks.changed(Math.min(MAX_REWRITES, this.sweepOps - firstDeletes.length), room);
     const left = this.sweepOps - rewrites.reduce((sum, r) => sum + opsOf(r), 0);
     const deletes = [...this.useless].slice(0, left);
     if (deletes.length + rewrites.length === 0) return;
