--- a/test/limits-service.test.ts
+++ b/test/limits-service.test.ts
@@ -86,6 +86,13 @@
   mem_gb: 1,
   bundle: "img",
   image_gb: 0.1,
+  gpus: 0,
+  together: false,
+  apart: false,
+  loaners: false,
+  expected_s: 1,
+  bookmark_s: 0,
+  stash_s: 0,
   ...more,
 });
 const submitted = (ref: string, more: object = {}): Promise<void> =>
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -271,7 +271,7 @@
     private readonly id: string,
     readonly spot: boolean,
     private readonly front: () => string,
-    private readonly events: string[],
+    private readonly events: string[] = [],
   ) {
     super();
   }
