--- a/test/model.ts
+++ b/test/model.ts
@@ -1217,6 +1217,7 @@
         checkpoint: Duration.zero,
         save: Duration.zero,
         deadline: null,
+        awaits: [],
         ...change,
       };
       if (lasts !== undefined) this.lasts.set(id, lasts);
