Answers about waiting jobs rest on ancestors that the node hasn't heard of as well

A node that knew a waiting job but not the waiting job before it checked only that one's commit, not those before it, for as long as its reading was behind; with a watch that fails for longer than cancel_s that breaks orphaned. A fan-in set without its job is swept by whoever leads, and a refused add is put off ever longer.

--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -534,9 +534,10 @@
       this.guarded?.with((s) => {
         for (const row of rows) if (!s.cluster.jobs.has(row.key.split("/")[1]!)) this.useless.add(row.key);
       });
-      // sets of jobs that an earlier version committed, or whose set wasn't known to who committed them
+      // sets of jobs that an earlier version committed, or whose set wasn't known to who committed them: a set is
+      // created with its job, so one without is left over
       for (const id of this.mirror.fanins.keys())
-        if (this.mirror.isOver(id) && !this.mirror.isUnfinished(id)) this.useless.add(keys.fanin(id));
+        if (!this.mirror.isUnfinished(id)) this.useless.add(keys.fanin(id));
     }
     // a split may need a whole transaction, and so may what is of no more use: each goes first in its turn
     const room = { valueBytes: this.valueBytes, txnBytes: TXN_BYTES, newKey: this.newBlock };
--- a/src/service/releases.ts
+++ b/src/service/releases.ts
@@ -9,12 +9,13 @@
 import * as Effect from "effect/Effect";
 import { faninStep, type ParentState } from "../core/fanin.js";
 import { type CommitRecord, type FaninRecord, keys } from "../core/records.js";
-import { type Instant, passed } from "../core/time.js";
+import { type Instant, passed, plus } from "../core/time.js";
 import { now } from "../io/clock.js";
 import { releasedRecord } from "../io/codec.js";
 import type { Log } from "../io/log.js";
 import type { StateClient } from "../io/state-client.js";
 import type { Fanin, Mirror } from "./mirror.js";
+import { Refusals } from "./refusals.js";
 import { Signal } from "./signal.js";
 import type { Status } from "./status.js";
 
@@ -27,13 +28,18 @@
   private readonly wake = new Signal();
   private lookedAtAll: Instant | null = null;
   private running = false;
+  /** Sets that the state service refused to have written, and until when that isn't tried again. */
+  private readonly refusedUntil = new Map<string, Instant>();
+  private readonly refusals: Refusals;
 
   constructor(
     private readonly state: StateClient,
     private readonly mirror: Mirror,
     private readonly status: Status,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.refusals = new Refusals(log);
+  }
 
   /** A waiting job was heard of. */
   waitingSeen(id: string): void {
@@ -83,7 +89,12 @@
   private settle(id: string): Effect.Effect<void> {
     return Effect.gen(this, function* () {
       const job = this.mirror.waiting.get(id);
-      if (job === undefined) return;
+      if (job === undefined) {
+        this.refusedUntil.delete(id);
+        return;
+      }
+      const until = this.refusedUntil.get(id);
+      if (until !== undefined && now() < until) return;
       const { awaits, tasks } = job.spec;
       const outcomes = new Map<string, ParentState>();
       for (const parent of awaits) outcomes.set(parent, yield* this.parentState(parent));
@@ -140,6 +151,13 @@
           ...(fanin.released ? [{ put: keys.job(id), value: released }, { delete: keys.waiting(id) }] : []),
         ],
       );
+      if (result.ok === null) {
+        // the same add would be refused again: ever longer pauses
+        this.refusedUntil.set(id, plus(now(), this.refusals.refused("fan-in", result.error, id)));
+        return;
+      }
+      this.refusals.accepted("fan-in", id);
+      this.refusedUntil.delete(id);
       if (result.ok === true) {
         this.mirror.putFanin(id, fanin, result.revision);
         if (!fanin.released) return;
@@ -147,10 +165,6 @@
         this.log.info({ job: id }, "released");
         return;
       }
-      if (result.ok === null) {
-        this.log.error({ job: id, why: result.error }, "a fan-in set can't be written");
-        return;
-      }
       // somebody else's add, or a late one of an earlier leader, came first: the next look rests on that
       if (result.failed.includes(keys.fanin(id)) || result.failed.length === 0) yield* this.readSet(id);
     });
--- a/src/service/status.ts
+++ b/src/service/status.ts
@@ -110,7 +110,10 @@
    */
   private keysOf(id: string, known: boolean): string[] {
     if (!known) return [keys.commit(id), keys.job(id), keys.waiting(id)];
-    return [id, ...this.ancestorsOf(id)].map(keys.commit);
+    const ancestors = this.ancestorsOf(id);
+    // of which nothing is known here: it may wait itself, for others that count as well
+    const unknown = ancestors.filter((p) => !this.mirror.isUnfinished(p));
+    return [...[id, ...ancestors].map(keys.commit), ...unknown.map(keys.waiting)];
   }
 
   private ancestorsOf(id: string): string[] {
@@ -226,7 +229,13 @@
         const parent = this.ancestorsOf(id).find((p) => !asked.has(p));
         if (parent === undefined) return { kind: "open", stamp, tasks, waiting: true } as const;
         asked.add(parent);
-        const commit = yield* this.state.get(keys.commit(parent), urgency, patience);
+        let commit = yield* this.state.get(keys.commit(parent), urgency, patience);
+        if (commit === null && !this.mirror.isUnfinished(parent)) {
+          // not heard of here: what it waits for counts as well; if it is over by now its commit is there
+          const row = yield* this.state.get(keys.waiting(parent), urgency, patience);
+          if (row !== null) this.mirror.putWaiting(row.key, row.value, row.stamp);
+          else commit = yield* this.state.get(keys.commit(parent), urgency, patience);
+        }
         if (commit === null) continue;
         const record = commit.value as CommitRecord;
         this.remember(parent, record);
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -121,7 +121,7 @@
   const fake = {
     commit: (when: { key: string }[], apply: { put?: string; value?: unknown }[]) => {
       if (apply.length === 0) compared.push(when.map((c) => c.key));
-      const failed = when.map((c) => c.key).filter((key) => commits.has(key));
+      const failed = when.map((c) => c.key).filter((key) => commits.has(key) || stored(key) !== undefined);
       if (failed.length > 0) return Effect.succeed({ ok: false, failed } as const);
       for (const c of apply)
         if (c.put !== undefined) {
@@ -131,7 +131,7 @@
       return Effect.succeed({ ok: true, revision: 9 } as const);
     },
     get: (key: string) => {
-      const value = commits.get(key) ?? (key.startsWith(keys.waitings) ? mirrored(key) : undefined);
+      const value = commits.get(key) ?? stored(key);
       return Effect.succeed(value === undefined ? null : { key, value, stamp: 1 });
     },
   } as unknown as StateClient;
@@ -140,7 +140,13 @@
     ...{ mem_gb: 1, bundle: "img", image_gb: 1, awaits },
   });
   const mirror = new Mirror(fake, log);
-  const mirrored = (key: string) => mirror.waiting.get(key.slice(keys.waitings.length))?.record;
+  const mirrors = [mirror];
+  const stored = (key: string) =>
+    mirrors
+      .map((m) =>
+        key.startsWith(keys.waitings) ? m.waiting.get(key.slice(keys.waitings.length)) : undefined,
+      )
+      .find((job) => job !== undefined)?.record;
   mirror.put(keys.job("req-1"), record("req-1", []), 1);
   // chain 2 <- 3 <- 4, and one that needs none of them
   for (const [id, awaits] of [
@@ -161,6 +167,14 @@
     compared.every((keys) => keys.length <= 3),
     JSON.stringify(compared),
   );
+  // nor does it matter what this node has heard of the jobs in between
+  const partly = new Mirror(fake, log);
+  mirrors.push(partly);
+  partly.putWaiting(keys.waiting("req-8"), record("req-8", ["req-3"]), 1);
+  commits.delete("commit/req-4");
+  const behind = new Status(fake, partly, 3);
+  const answer = await Effect.runPromise(behind.of("req-8"));
+  assert.deepEqual(answer, { kind: "final", commit: { outcome: "cancelled", tasks: 2 } });
   // a parent that is done needn't be asked about again
   commits.set("commit/req-6", { outcome: "done", tasks: 1 });
   assert.equal((await ask("req-5")).kind, "open");
