--- a/src/core/budget.ts
+++ b/src/core/budget.ts
@@ -46,7 +46,7 @@
    * How long an urgent one waits before it goes. Usually not at all; but after a refusal all of them at once, each
    * trying again, would only be refused again. null: too many wait, so it isn't worth being sent.
    */
-  turn(now: Instant, n: number): Duration.Duration | null {
+  turn(now: Instant, n: number, longest = LONGEST_TURN): Duration.Duration | null {
     const recent = (at: Instant | null): boolean => at !== null && !passed(now, at, PACED_FOR);
     // also while others wait: they would all go together
     if (!recent(this.refusedAt) && !recent(this.nextTurn)) {
@@ -54,7 +54,7 @@
       return Duration.zero;
     }
     const at = this.nextTurn === null || this.nextTurn < now ? now : this.nextTurn;
-    if (passed(at, now, LONGEST_TURN)) return null;
+    if (passed(at, now, longest)) return null;
     this.nextTurn = plus(at, Duration.millis((n / this.perSecond / PACE) * 1000));
     return Duration.millis(at - now);
   }
--- a/src/io/state-client.ts
+++ b/src/io/state-client.ts
@@ -24,8 +24,8 @@
   | { readonly ok: null; readonly error: string };
 
 /**
- * Renewals, commits and what users wait for go first; the rest waits for this node's share. What says who leads and who
- * is a member goes at once, also after refusals.
+ * Renewals and commits go first; the rest waits for this node's share. What says who leads and who is a member goes at
+ * once, also after refusals; so do users' submissions and cancels, which are few and have nobody to wait for them.
  */
 export type Urgency = "vital" | "first" | "later";
 
@@ -33,6 +33,8 @@
 const MAX_WAITING = 500;
 /** The leader writes the most: it has this share of all rates, the other nodes divide the rest. */
 const LEADERS_SHARE = 0.5;
+/** Of changes it has more: commits, releases and records of machines are its own, and accepting a job is one change. */
+const LEADERS_SHARE_OF_CHANGES = 0.7;
 
 export class StateClient {
   private readonly agent: http.Agent = makeAgent(24);
@@ -43,6 +45,7 @@
   /** The rates that this node's share is taken from, and that share. */
   private inForce: Rate;
   private share: number;
+  private shareOfChanges: number;
   private waiting = 0;
   /** Since when requests fail; null: the last one got an answer other than 503. */
   failingSince: Instant | null = null;
@@ -55,6 +58,7 @@
     this.rates = new Rates(limits, limits.next);
     this.inForce = this.rates.at(now());
     this.share = 1 / nodes;
+    this.shareOfChanges = this.share;
     this.requests = new Budget(limits.rps / nodes);
     this.changes = new Budget(limits.writeRps / nodes);
   }
@@ -62,7 +66,9 @@
   /** Whether this node leads: the leader's share is larger. */
   setLeading(leading: boolean): void {
     if (this.nodes === 1) return;
-    this.share = leading ? LEADERS_SHARE : (1 - LEADERS_SHARE) / (this.nodes - 1);
+    const share = (leaders: number): number => (leading ? leaders : (1 - leaders) / (this.nodes - 1));
+    this.share = share(LEADERS_SHARE);
+    this.shareOfChanges = share(LEADERS_SHARE_OF_CHANGES);
     this.setRates();
   }
 
@@ -70,7 +76,7 @@
     const at = now();
     this.inForce = this.rates.at(at);
     this.requests.setRate(at, this.inForce.rps * this.share);
-    this.changes.setRate(at, this.inForce.writeRps * this.share);
+    this.changes.setRate(at, this.inForce.writeRps * this.shareOfChanges);
   }
 
   private admit(
@@ -78,7 +84,7 @@
     changes: number,
     patience: Duration.Duration | undefined,
   ): Effect.Effect<void, Unavailable> {
-    const admitted = this.admitted(urgency, changes);
+    const admitted = this.admitted(urgency, changes, patience);
     if (patience === undefined) return admitted;
     return Effect.timeoutFail(admitted, {
       duration: patience,
@@ -86,11 +92,16 @@
     });
   }
 
-  private admitted(urgency: Urgency, changes: number): Effect.Effect<void, Unavailable> {
+  private admitted(
+    urgency: Urgency,
+    changes: number,
+    patience: Duration.Duration | undefined,
+  ): Effect.Effect<void, Unavailable> {
     return Effect.suspend(() => {
       if (this.rates.at(now()) !== this.inForce) this.setRates();
       if (urgency !== "later") {
-        const turn = urgency === "first" && changes > 0 ? this.changes.turn(now(), changes) : Duration.zero;
+        const turn =
+          urgency === "first" && changes > 0 ? this.changes.turn(now(), changes, patience) : Duration.zero;
         if (turn === null) return Effect.fail(new Unavailable({ why: "too many changes wait" }));
         this.requests.takeFirst(now());
         if (changes > 0) this.changes.takeFirst(now(), changes);
--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -187,9 +187,11 @@
   private accept(wire: WireJob) {
     return Effect.gen(this, function* () {
       const record = jobRecord(wire, new Date());
-      const result = yield* this.state.commit(this.isNew(wire.ref), [
-        { put: keys.job(wire.ref), value: record },
-      ]);
+      const result = yield* this.state.commit(
+        this.isNew(wire.ref),
+        [{ put: keys.job(wire.ref), value: record }],
+        "vital",
+      );
       if (result.ok === null) return problem(400, `can't be stored: ${result.error}`);
       if (result.ok === false) return yield* this.repeated(wire.ref);
       this.mirror.put(keys.job(wire.ref), record, result.revision);
@@ -258,7 +260,7 @@
                 { put: keys.waiting(id), value: record },
                 { put: keys.fanin(id), value: fanin },
               ];
-        const result = yield* this.state.commit(when, apply);
+        const result = yield* this.state.commit(when, apply, "vital");
         if (result.ok === null)
           return yield* this.refused(id, problem(400, `can't be stored: ${result.error}`));
         if (result.ok === true) {
@@ -352,6 +354,7 @@
             { delete: standing.waiting ? keys.waiting(id) : keys.job(id) },
             ...(standing.waiting || this.mirror.fanins.has(id) ? [{ delete: keys.fanin(id) }] : []),
           ],
+          "vital",
         );
         if (result.ok === true) {
           this.status.remember(id, commit);
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -33,6 +33,7 @@
 import type { Member } from "./member.js";
 import type { Leadership, Membership } from "./membership.js";
 import type { Mirror, MirroredJob, WaitingJob } from "./mirror.js";
+import { OWN_TURN } from "./own-turn.js";
 import type { Peers } from "./peers.js";
 import type { Releases } from "./releases.js";
 import { Refusals } from "./refusals.js";
@@ -457,6 +458,8 @@
           // a child deletes its fan-in set once it commits
           ...(this.mirror.fanins.has(id) ? [{ delete: keys.fanin(id) }] : []),
         ],
+        "first",
+        OWN_TURN,
       );
       if (result.ok === null) yield* Effect.sleep(this.refusals.refused("commit of a job", result.error, id));
       else this.refusals.accepted("commit of a job", id);
--- a/src/service/releases.ts
+++ b/src/service/releases.ts
@@ -16,6 +16,7 @@
 import type { StateClient } from "../io/state-client.js";
 import type { Fanin, Mirror } from "./mirror.js";
 import { Refusals } from "./refusals.js";
+import { OWN_TURN } from "./own-turn.js";
 import { Signal } from "./signal.js";
 import type { Status } from "./status.js";
 
@@ -25,6 +26,8 @@
 
 export class Releases {
   private readonly changed = new Set<string>();
+  /** Those with a join that the state service didn't take: looked at again after a moment. */
+  private readonly delayed = new Set<string>();
   private readonly wake = new Signal();
   private lookedAtAll: Instant | null = null;
   private running = false;
@@ -63,6 +66,7 @@
       Effect.sync(() => {
         this.running = false;
         this.changed.clear();
+        this.delayed.clear();
       }),
     ),
   );
@@ -77,6 +81,8 @@
     yield* Effect.forEach(some, (id) => this.settle(id), { concurrency: AT_ONCE, discard: true });
     // what a write of this round led to goes on at once
     if (this.changed.size === 0) yield* this.wake.wait(LOOK_EVERY);
+    for (const id of this.delayed) this.changed.add(id);
+    this.delayed.clear();
   }).pipe(
     Effect.catchAllCause((cause) =>
       Effect.zipRight(
@@ -110,7 +116,12 @@
       if (set === null || set.released) return;
       yield* this.join(id, job.stamp, job.record, set, { joined: step.joined, released: step.fills });
     }).pipe(
-      Effect.catchAll((e) => Effect.sync(() => this.log.debug({ job: id, why: e.why }, "a join is delayed"))),
+      Effect.catchAll((e) =>
+        Effect.sync(() => {
+          this.delayed.add(id);
+          this.log.debug({ job: id, why: e.why }, "a join is delayed");
+        }),
+      ),
     );
   }
 
@@ -150,6 +161,8 @@
           { put: keys.fanin(id), value: fanin },
           ...(fanin.released ? [{ put: keys.job(id), value: released }, { delete: keys.waiting(id) }] : []),
         ],
+        "first",
+        OWN_TURN,
       );
       if (result.ok === null) {
         // the same add would be refused again: ever longer pauses
