--- a/src/service/status.ts
+++ b/src/service/status.ts
@@ -5,7 +5,7 @@
 import * as Deferred from "effect/Deferred";
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
-import { type CommitRecord, keys } from "../core/records.js";
+import { type CommitRecord, keys, type Outcome } from "../core/records.js";
 import type { Condition } from "../io/codec.js";
 import { type StateClient, type StateError, Unavailable } from "../io/state-client.js";
 import type { Mirror } from "./mirror.js";
@@ -110,10 +110,7 @@
    */
   private keysOf(id: string, known: boolean): string[] {
     if (!known) return [keys.commit(id), keys.job(id), keys.waiting(id)];
-    const ancestors = this.ancestorsOf(id);
-    // of which nothing is known here: it may wait itself, for others that count as well
-    const unknown = ancestors.filter((p) => !this.mirror.isUnfinished(p));
-    return [...[id, ...ancestors].map(keys.commit), ...unknown.map(keys.waiting)];
+    return [id, ...this.ancestorsOf(id)].map(keys.commit);
   }
 
   private ancestorsOf(id: string): string[] {
@@ -165,9 +162,9 @@
     if (!w.known) return this.succeed(w, { kind: "absent" });
     const job = this.mirror.jobs.get(w.id);
     const waiting = this.mirror.waiting.get(w.id);
-    // it ended in the meantime, or more was heard of what it waits for
-    if (job === undefined && this.ancestorsOf(w.id).some((p) => !w.keys.includes(keys.commit(p))))
-      return this.readFor(w);
+    // it ended in the meantime, more was heard of what it waits for, or something before it was not heard of yet
+    const isNews = (p: string): boolean => !w.keys.includes(keys.commit(p)) || !this.mirror.isUnfinished(p);
+    if (job === undefined && this.ancestorsOf(w.id).some(isNews)) return this.readFor(w);
     const known = job ?? waiting;
     if (known === undefined) return this.readFor(w);
     const { stamp, spec } = known;
@@ -224,26 +221,58 @@
     patience: Duration.Duration | undefined,
   ): Effect.Effect<Standing, StateError> {
     return Effect.gen(this, function* () {
-      const asked = new Set<string>();
+      // by whether their end was heard of when they were asked about
+      const asked = new Map<string, boolean>();
       for (;;) {
-        const parent = this.ancestorsOf(id).find((p) => !asked.has(p));
+        // released or over in the meantime: what comes before it isn't known here any more
+        if (!this.mirror.waiting.has(id)) return yield* this.read(id, patience);
+        // outcomes pass on the other way round: where one was heard of since, the way up from there is lost
+        const parent = this.ancestorsOf(id).find(
+          (p) => !asked.has(p) || asked.get(p) !== this.mirror.isOver(p),
+        );
         if (parent === undefined) return { kind: "open", stamp, tasks, waiting: true } as const;
-        asked.add(parent);
-        let commit = yield* this.state.get(keys.commit(parent), urgency, patience);
-        if (commit === null && !this.mirror.isUnfinished(parent)) {
-          // not heard of here: what it waits for counts as well; if it is over by now its commit is there
-          const row = yield* this.state.get(keys.waiting(parent), urgency, patience);
-          if (row !== null) this.mirror.putWaiting(row.key, row.value, row.stamp);
-          else commit = yield* this.state.get(keys.commit(parent), urgency, patience);
-        }
-        if (commit === null) continue;
-        const record = commit.value as CommitRecord;
-        this.remember(parent, record);
-        if (record.outcome === "cancelled") return this.final(id, yield* this.cancelWaiting(id, tasks));
+        asked.set(parent, this.mirror.isOver(parent));
+        const standing = yield* this.ancestor(parent, urgency, patience);
+        if (standing === "cancelled") return this.final(id, yield* this.cancelWaiting(id, tasks));
       }
     });
   }
 
+  /**
+   * The outcome of a job before a waiting one, if it has one. One that wasn't heard of here yet is read, so that what it
+   * waits for itself is known afterwards.
+   */
+  private ancestor(
+    id: string,
+    urgency: "first" | "later",
+    patience: Duration.Duration | undefined,
+  ): Effect.Effect<Outcome | null, StateError> {
+    return Effect.gen(this, function* () {
+      const outcome = yield* this.readOutcome(id, urgency, patience);
+      if (outcome !== null || this.mirror.isUnfinished(id)) return outcome;
+      const waiting = yield* this.state.get(keys.waiting(id), urgency, patience);
+      const row = waiting ?? (yield* this.state.get(keys.job(id), urgency, patience));
+      // it ended in between
+      if (row === null) return yield* this.readOutcome(id, urgency, patience);
+      const seen =
+        waiting === null
+          ? this.mirror.put(row.key, row.value, row.stamp)
+          : this.mirror.putWaiting(row.key, row.value, row.stamp);
+      if (seen === "malformed")
+        return yield* Effect.fail(new Unavailable({ why: `the record of ${id} can't be read` }));
+      return seen === "over" ? yield* this.readOutcome(id, urgency, patience) : null;
+    });
+  }
+
+  private readOutcome(id: string, urgency: "first" | "later", patience: Duration.Duration | undefined) {
+    return Effect.map(this.state.get(keys.commit(id), urgency, patience), (row) => {
+      if (row === null) return null;
+      const commit = row.value as CommitRecord;
+      this.remember(id, commit);
+      return commit.outcome;
+    });
+  }
+
   /**
    * A parent's outcome passes on: this waiting job is cancelled as well. It can't have been released, since all parents
    * have to be done for that, so the only commit that it may have already says the same.
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -182,3 +182,77 @@
   assert.equal((await ask("req-5")).kind, "open");
   assert.deepEqual(compared, [["commit/req-5"]]);
 });
+
+/** A state service with these waiting jobs, and commits that a test may add to; `onGet`: what happens as an answer is on its way. */
+const pipelineService = (waits: Record<string, string[]>, onGet: (key: string) => void = () => undefined) => {
+  const rows = new Map<string, unknown>();
+  const record = (ref: string, awaits: string[]) => ({
+    ...{ ref, roster: "maps", crew: "red", shape: "array", urgency: "normal", chores: 2, vcpus: 1 },
+    ...{ mem_gb: 1, bundle: "img", image_gb: 1, awaits },
+  });
+  for (const [id, awaits] of Object.entries(waits)) rows.set(keys.waiting(id), record(id, awaits));
+  const fake = {
+    commit: (when: { key: string }[], apply: { put?: string; value?: unknown; delete?: string }[]) => {
+      const failed = when.map((c) => c.key).filter((key) => rows.has(key));
+      if (failed.length > 0) return Effect.succeed({ ok: false, failed } as const);
+      for (const c of apply)
+        if (c.put !== undefined) rows.set(c.put, c.value);
+        else rows.delete(c.delete!);
+      return Effect.succeed({ ok: true, revision: 9 } as const);
+    },
+    get: (key: string) =>
+      Effect.sync(() => {
+        const value = rows.get(key);
+        onGet(key);
+        return value === undefined ? null : { key, value, stamp: 1 };
+      }),
+  } as unknown as StateClient;
+  return { rows, fake, mirror: new Mirror(fake, log) };
+};
+const CANCELLED = { outcome: "cancelled", tasks: 2 };
+const CHAIN = { "req-2": ["req-1"], "req-3": ["req-2"], "req-4": ["req-3"] };
+
+test("a process that heard of nothing yet looks through what comes before a waiting job", async () => {
+  // asked of a process that knows nothing, and of one that knows the job itself alone
+  for (const known of [false, true]) {
+    const { rows, fake, mirror } = pipelineService(CHAIN);
+    rows.set(keys.commit("req-1"), CANCELLED);
+    const last = keys.waiting("req-4");
+    if (known) mirror.putWaiting(last, rows.get(last), 1);
+    const answer = await Effect.runPromise(new Status(fake, mirror, 64).of("req-4"));
+    assert.deepEqual(answer, { kind: "final", commit: CANCELLED }, `the job itself is known: ${known}`);
+    assert.ok(rows.has(keys.commit("req-4")) && !rows.has(last));
+  }
+});
+
+test("a waiting job's answer doesn't miss a cancel that passes on as its ancestors are asked about", async () => {
+  let passedOn = false;
+  const { rows, fake, mirror } = pipelineService(CHAIN, (key) => {
+    if (key !== keys.commit("req-2") || passedOn) return;
+    passedOn = true;
+    for (const id of ["req-1", "req-2", "req-3"]) {
+      rows.set(keys.commit(id), CANCELLED);
+      rows.delete(keys.waiting(id));
+      mirror.remove(id);
+    }
+  });
+  for (const id of Object.keys(CHAIN)) mirror.putWaiting(keys.waiting(id), rows.get(keys.waiting(id)), 1);
+  const answer = await Effect.runPromise(new Status(fake, mirror, 64).read("req-4"));
+  assert.ok(passedOn);
+  assert.deepEqual(answer, { kind: "final", commit: CANCELLED });
+});
+
+test("a waiting job that ends as its ancestors are asked about is read again", async () => {
+  let ended = false;
+  const { rows, fake, mirror } = pipelineService(CHAIN, (key) => {
+    if (key !== keys.commit("req-3") || ended) return;
+    ended = true;
+    rows.set(keys.commit("req-4"), CANCELLED);
+    rows.delete(keys.waiting("req-4"));
+    mirror.remove("req-4");
+  });
+  for (const id of Object.keys(CHAIN)) mirror.putWaiting(keys.waiting(id), rows.get(keys.waiting(id)), 1);
+  const answer = await Effect.runPromise(new Status(fake, mirror, 64).read("req-4"));
+  assert.ok(ended);
+  assert.deepEqual(answer, { kind: "final", commit: CANCELLED });
+});
