A job after waiting ones is accepted as cancelled if anything before them was

The accepting write rested on the records of the parents alone. A waiting parent whose ancestor was cancelled, with the passing on held up by an outage, still had its record, so a child sent then was told 'queued', more than cancel_s after the cancel. It now rests on the commits of all unfinished jobs before its parents too, as far as one transaction compares; who fails it reads its parents anew. Model: the same, with the guard 'before' and a row of its own.

--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -42,8 +42,13 @@
 const ACCEPT_TRIES = 4;
 const JOB_ID = /^req-[0-9]{1,18}$/;
 
-/** A job that another one is to wait for: over, or unfinished and not gone on from there as long as this holds. */
-type Parent = { readonly state: Outcome } | { readonly state: "open"; readonly condition: Condition };
+/**
+ * A job that another one is to wait for: over, or unfinished and not gone on from there as long as this holds; if it
+ * waits itself, no longer than none of the jobs before it has a commit.
+ */
+type Parent =
+  | { readonly state: Outcome }
+  | { readonly state: "open"; readonly condition: Condition; readonly before: readonly string[] };
 
 export interface FrontOptions {
   readonly bind: string;
@@ -247,8 +252,11 @@
         const joined = awaits.filter((_, i) => known[i]!.state === "done");
         const cancelled = known.some((p) => p.state === "cancelled");
         const open = known.flatMap((p) => (p.state === "open" ? [p.condition] : []));
+        // a cancel before a parent counts although it hasn't been passed on to the parent yet
+        const before = new Set(known.flatMap((p) => (p.state === "open" ? p.before : [])));
+        const rest = [...open, ...[...before].map((key): Condition => ({ key, stamp: 0 }))];
         const own = this.isNew(id);
-        const when = [...own, ...open.slice(0, Math.max(0, this.options.conditions - own.length))];
+        const when = [...own, ...rest.slice(0, Math.max(0, this.options.conditions - own.length))];
         const commit: CommitRecord = { outcome: "cancelled", tasks: wire.chores };
         const fanin: FaninRecord = { joined, released: false };
         const released = releasedRecord(record, new Date());
@@ -291,19 +299,26 @@
   /** A job that another one is to wait for, as it is now; null: it was never accepted. */
   private parent(id: string, stale: boolean) {
     return Effect.gen(this, function* () {
-      const open = (key: string, stamp: number): Parent => ({ state: "open", condition: { key, stamp } });
+      const open = (key: string, stamp: number, before: readonly string[] = []): Parent => ({
+        state: "open",
+        condition: { key, stamp },
+        before,
+      });
       const outcome = this.status.outcome(id);
       if (outcome !== undefined) return { state: outcome.outcome } as Parent;
       if (!stale) {
         const job = this.mirror.jobs.get(id);
         if (job !== undefined) return open(keys.job(id), job.stamp);
         const waiting = this.mirror.waiting.get(id);
-        if (waiting !== undefined) return open(keys.waiting(id), waiting.stamp);
+        const before = waiting === undefined ? null : this.status.commitsBefore(id);
+        if (waiting !== undefined && before !== null) return open(keys.waiting(id), waiting.stamp, before);
       }
       const standing = yield* this.status.read(id);
       if (standing.kind === "absent") return null;
       if (standing.kind === "final") return { state: standing.commit.outcome } as Parent;
-      return open(standing.waiting ? keys.waiting(id) : keys.job(id), standing.stamp);
+      return standing.waiting
+        ? open(keys.waiting(id), standing.stamp, this.status.commitsBefore(id) ?? [])
+        : open(keys.job(id), standing.stamp);
     });
   }
 
--- a/src/service/status.ts
+++ b/src/service/status.ts
@@ -113,6 +113,12 @@
     return [id, ...this.ancestorsOf(id)].map(keys.commit);
   }
 
+  /** The commits that a waiting job's end may come from; null: not all that comes before it was heard of yet. */
+  commitsBefore(id: string): string[] | null {
+    const before = this.ancestorsOf(id);
+    return before.every((p) => this.mirror.isUnfinished(p)) ? before.map(keys.commit) : null;
+  }
+
   private ancestorsOf(id: string): string[] {
     if (!this.mirror.waiting.has(id)) return [];
     return this.mirror.waiters.ancestorsOf(id, (p) => this.finals.get(p)?.outcome === "done");
--- a/test/model-pipelines.ts
+++ b/test/model-pipelines.ts
@@ -111,7 +111,7 @@
   commit(id: string, outcome: Outcome): void;
   count(what: string): void;
   broke(rule: string, text: string): void;
-  without(guard: "release" | "ancestors" | "unheard" | "overtaken" | "join" | "filling"): boolean;
+  without(guard: "release" | "ancestors" | "unheard" | "overtaken" | "before" | "join" | "filling"): boolean;
 }
 
 type Standing =
@@ -120,7 +120,7 @@
   | { readonly kind: "absent" };
 
 /** How many records one transaction compares: wide fans have more parents. */
-const CONDITIONS = 7;
+const CONDITIONS = 10;
 const OWN_CONDITIONS = 3;
 const ACCEPT_TRIES = 4;
 const CANCEL_TRIES = 3;
@@ -469,10 +469,15 @@
         return p.kind === "open" ? [{ id, stamp: p.stamp, waiting: p.waiting }] : [];
       });
       const conditions = open.slice(0, CONDITIONS - OWN_CONDITIONS);
+      const { view } = node;
+      // a cancel before a parent counts although it hasn't been passed on to the parent yet
+      const before = new Set(open.flatMap((p) => (p.waiting ? this.ancestorsSeen(view, p.id) : [])));
+      const commits = [...before].slice(0, CONDITIONS - OWN_CONDITIONS - conditions.length);
       let isNew = true;
       const row = { spec, stamp: 0, accepted: asked, released: host.now() };
       const unchanged = (): boolean =>
-        conditions.every((c) => (c.waiting ? this.waiting : host.jobs).get(c.id)?.stamp === c.stamp);
+        conditions.every((c) => (c.waiting ? this.waiting : host.jobs).get(c.id)?.stamp === c.stamp) &&
+        (host.without("before") || !commits.some((p) => host.commits.has(p)));
       this.transact(
         node,
         () => {
@@ -491,7 +496,6 @@
           this.fanins.set(spec.id, { joined, released: false, stamp });
         },
         (ok) => {
-          const { view } = node;
           // without an answer it may have been accepted all the same
           if (ok === null || !isNew) return this.ask(node, spec.id);
           if (!ok) return this.accept(node, spec, true, tries + 1);
@@ -529,7 +533,8 @@
     };
     for (const id of awaits) {
       const outcome = view.finals.get(id);
-      const row = stale ? undefined : (view.jobs.get(id) ?? view.waiting.get(id));
+      const isHeardOf = this.ancestorsSeen(view, id).every((p) => view.isUnfinished(p));
+      const row = stale || !isHeardOf ? undefined : (view.jobs.get(id) ?? view.waiting.get(id));
       if (outcome !== undefined) set(id, { kind: "final", outcome });
       else if (row !== undefined) set(id, { kind: "open", stamp: row.stamp, waiting: !view.jobs.has(id) });
       else this.read(node, id, (standing) => set(id, standing));
--- a/test/model.ts
+++ b/test/model.ts
@@ -52,6 +52,8 @@
   | "unheard"
   /** An outcome that passes on meanwhile isn't noticed by who goes through the jobs before a waiting one. */
   | "overtaken"
+  /** A job is accepted without a look at what comes before the jobs that it awaits. */
+  | "before"
   /** Joins that were lost aren't looked for again. */
   | "join"
   /** A join isn't bound to the set, the waiting job and its commit as they were read. */
--- a/test/pipeline-rules.test.ts
+++ b/test/pipeline-rules.test.ts
@@ -192,8 +192,8 @@
       w.wait(8000);
       w.slowStateMs = 300;
       for (let i = 0; i < 4; i++) {
-        const parents = Array.from({ length: 9 }, (_, n) => root(w, n < 5 ? 8000 : 1000));
-        w.until(() => w.finished(parents.slice(5)) >= 3, 15_000);
+        const parents = Array.from({ length: 13 }, (_, n) => root(w, n < 8 ? 10_000 : 1000));
+        w.until(() => w.finished(parents.slice(8)) >= 3, 15_000);
         for (let n = 0; n < 6; n++) {
           after(w, parents);
           w.wait(200);
@@ -231,6 +231,29 @@
       ["overtaken", ["orphaned"]],
     ],
   },
+  {
+    name: "a job is cancelled, and those that need it through others are sent until the state service is back",
+    rough: 0,
+    play: (w, seed) => {
+      w.usersCancel = false;
+      w.wait(8000);
+      for (let i = 0; i < 2; i++) {
+        const jobs = chain(w, 3, 60_000);
+        accepted(w, jobs.slice(1));
+        w.wait(2000);
+        if (seed % 3 === 0) w.endLeader(6000);
+        w.callOff(jobs[0]!);
+        if (!w.until(() => w.outcome(jobs[0]!) === "cancelled", 10_000)) continue;
+        w.outage(CANCEL + 2000 + (seed % 4) * 1000);
+        for (let n = 0; n < 6; n++) jobs.push(after(w, [jobs[2]!]));
+        if (w.isWaiting(jobs[2]!)) w.note("jobs sent inside an outage", 6);
+        w.wait(CANCEL + 15_000);
+        led(w);
+      }
+    },
+    met: { "jobs sent inside an outage": 150, "children of cancelled jobs accepted": 100 },
+    guards: [["before", ["orphaned"]]],
+  },
   {
     name: "leaders change one after the other while pipelines run and are called off anywhere",
     rough: 0.8,
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -245,6 +245,20 @@
   assert.ok(![...state.rows.keys()].some((key) => /^job-waiting\/req-00011/.test(key)));
 });
 
+test("a job after one that waits is accepted as cancelled if something before that was, though nobody heard of it yet", async () => {
+  // nothing has room for it
+  state.put("job/req-000151", { ...job("req-000151", { vcpus: 9999 }), accepted_ms: Date.now() });
+  const after = (ref: string, ...awaits: string[]) => ask("POST", "/v2/runs", job(ref, { awaits }));
+  assert.equal((await after("req-000152", "req-000151")).json["status"], "queued");
+  assert.equal((await after("req-000153", "req-000152")).json["status"], "queued");
+  // its job record is still there: for this controller it isn't over
+  state.put("commit/req-000151", { outcome: "cancelled", tasks: 5 });
+  const late = await after("req-000154", "req-000153");
+  assert.deepEqual(late, { status: 201, json: { ref: "req-000154", status: "aborted" } });
+  assert.equal((await ask("GET", "/v2/runs/req-000152")).json["status"], "aborted");
+  state.remove("job/req-000151");
+});
+
 test("a join that was lost, and a cancel that wasn't passed on, are found again", async () => {
   const record = (ref: string, awaits: string[]) => ({
     ...job(ref, { awaits, chores: 1 }),
