--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -3,31 +3,12 @@
  * counted, no rule may be broken, everything accepted is served afterwards, and where a guard is named the checker
  * has to notice that it is missing.
  */
-import assert from "node:assert/strict";
-import { test } from "node:test";
 import * as Duration from "effect/Duration";
-import { type Guard, SPANS, World } from "./model.js";
+import { SPANS, type World } from "./model.js";
+import { playAll, type Scenario } from "./scenarios.js";
 
-const SEEDS = 12;
-const FIRST = 3000;
 const LEASE = Duration.toMillis(SPANS.workerLease);
 const CANCEL = Duration.toMillis(SPANS.cancel);
-/** How many runs without a guard may pass before the checker notices. */
-const TRIES = 60;
-
-interface Meeting {
-  readonly name: string;
-  /** How rough the rest of the run is. */
-  readonly rough?: number;
-  /** On how many seeds it is played. */
-  readonly seeds?: number;
-  readonly play: (w: World, seed: number) => void;
-  /** How often this has to be reached, summed over all seeds. */
-  readonly met: Readonly<Record<string, number>>;
-  /** What the checker has to notice when a guard is taken out; one of the rules. */
-  readonly guards?: readonly (readonly [Guard, readonly string[]])[];
-}
-
 /** Somebody leads and acts again. */
 const led = (w: World): boolean => w.until(() => w.led(), 30_000);
 /** Tasks that run for long, on several machines. */
@@ -37,7 +18,7 @@
   return jobs;
 };
 
-const MEETINGS: readonly Meeting[] = [
+const MEETINGS: readonly Scenario[] = [
   {
     name: "leaders change ten times in two minutes, also inside an outage",
     play: (w) => {
@@ -403,39 +384,4 @@
   },
 ];
 
-for (const { name, rough = 0.5, seeds = SEEDS, play, met, guards = [] } of MEETINGS) {
-  test(name, () => {
-    const total = new Map<string, number>();
-    for (let seed = FIRST; seed < FIRST + seeds; seed++) {
-      const world = new World(seed, null, rough);
-      play(world, seed);
-      assert.deepEqual(world.broken, [], `seed ${seed}`);
-      for (const [what, n] of world.met) total.set(what, (total.get(what) ?? 0) + n);
-      world.calmDown().until(() => world.unserved().length === 0, 120_000);
-      assert.deepEqual(world.broken, [], `seed ${seed}, once all is over`);
-      assert.deepEqual(world.unserved(), [], `seed ${seed}: never served`);
-    }
-    if (process.env["COUNTS"] !== undefined) console.log(name, Object.fromEntries(total));
-    for (const [what, least] of Object.entries(met))
-      assert.ok((total.get(what) ?? 0) >= least, `${what}: only ${total.get(what) ?? 0} of ${least}`);
-  });
-
-  for (const [guard, rules] of guards)
-    test(`${name}: noticed without the guard "${guard}"`, () => {
-      const seen = new Set<string>();
-      for (let seed = FIRST; seed < FIRST + TRIES; seed++) {
-        const world = new World(seed, guard, rough);
-        play(world, seed);
-        if (world.broken.length === 0) {
-          world.calmDown().until(() => world.unserved().length === 0, 120_000);
-          if (world.unserved().length > 0) seen.add("unserved");
-        }
-        for (const { rule } of world.broken) seen.add(rule);
-        if (rules.some((rule) => seen.has(rule))) {
-          if (process.env["COUNTS"] !== undefined) console.log(guard, seed - FIRST, [...seen]);
-          return;
-        }
-      }
-      assert.fail(`no run broke ${rules.join(" or ")}: ${[...seen].join(", ") || "nothing at all"}`);
-    });
-}
+playAll(MEETINGS, { seeds: 12, first: 3000, tries: 60, servedWithin: 120_000, countsServing: false });
--- a/test/pipeline-rules.test.ts
+++ b/test/pipeline-rules.test.ts
@@ -2,30 +2,11 @@
  * Jobs that wait for others, in seeded runs: that the troubles really met is counted, no rule may be broken, everything
  * accepted is served or cancelled afterwards, and where a guard is named the checker has to notice that it is missing.
  */
-import assert from "node:assert/strict";
-import { test } from "node:test";
 import * as Duration from "effect/Duration";
-import { type Guard, SPANS, World } from "./model.js";
+import { SPANS, type World } from "./model.js";
+import { playAll, type Scenario } from "./scenarios.js";
 
-const SEEDS = 24;
-const FIRST = 5000;
 const CANCEL = Duration.toMillis(SPANS.cancel);
-/** How many runs without a guard may pass before the checker notices. */
-const TRIES = 40;
-/** Once troubles are over, the longest chain needs so long. */
-const SERVED_WITHIN = 180_000;
-
-interface Scenario {
-  readonly name: string;
-  /** How rough the rest of the run is. */
-  readonly rough?: number;
-  readonly play: (w: World, seed: number) => void;
-  /** How often this has to be reached, summed over all seeds. */
-  readonly met: Readonly<Record<string, number>>;
-  /** What the checker has to notice when a guard is taken out; one of the rules. */
-  readonly guards?: readonly (readonly [Guard, readonly string[]])[];
-}
-
 const SMALL = { tasks: 2, cpus: 1 } as const;
 const led = (w: World): boolean => w.until(() => w.led(), 30_000);
 /** A job that waits for nothing, of tasks that each run so long. */
@@ -281,39 +262,5 @@
   },
 ];
 
-for (const { name, rough = 0.5, play, met, guards = [] } of SCENARIOS) {
-  test(name, () => {
-    const total = new Map<string, number>();
-    for (let seed = FIRST; seed < FIRST + SEEDS; seed++) {
-      const world = new World(seed, null, rough);
-      play(world, seed);
-      assert.deepEqual(world.broken, [], `seed ${seed}`);
-      world.calmDown().until(() => world.unserved().length === 0, SERVED_WITHIN);
-      assert.deepEqual(world.broken, [], `seed ${seed}, once all is over`);
-      assert.deepEqual(world.unserved(), [], `seed ${seed}: never served`);
-      for (const [what, n] of world.met) total.set(what, (total.get(what) ?? 0) + n);
-    }
-    if (process.env["COUNTS"] !== undefined) console.log(name, Object.fromEntries(total));
-    for (const [what, least] of Object.entries(met))
-      assert.ok((total.get(what) ?? 0) >= least, `${what}: only ${total.get(what) ?? 0} of ${least}`);
-  });
-
-  for (const [guard, rules] of guards)
-    test(`${name}: noticed without the guard "${guard}"`, () => {
-      const seen = new Set<string>();
-      for (let seed = FIRST; seed < FIRST + TRIES; seed++) {
-        const world = new World(seed, guard, rough);
-        play(world, seed);
-        if (world.broken.length === 0) {
-          world.calmDown().until(() => world.unserved().length === 0, SERVED_WITHIN);
-          if (world.unserved().length > 0) seen.add("unserved");
-        }
-        for (const { rule } of world.broken) seen.add(rule);
-        if (rules.some((rule) => seen.has(rule))) {
-          if (process.env["COUNTS"] !== undefined) console.log(guard, seed - FIRST, [...seen]);
-          return;
-        }
-      }
-      assert.fail(`no run broke ${rules.join(" or ")}: ${[...seen].join(", ") || "nothing at all"}`);
-    });
-}
+// the longest chain needs three minutes
+playAll(SCENARIOS, { seeds: 24, first: 5000, tries: 40, servedWithin: 180_000, countsServing: true });
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -7,31 +7,10 @@
 import { Pipelines, timeFor } from "../src/core/pipelines.js";
 import { type JobSpec, type Priority, RANK } from "../src/core/records.js";
 import { type Instant, instant } from "../src/core/time.js";
+import { jobSpec } from "./specs.js";
 
-const spec = (id: string, awaits: readonly string[], more: Partial<JobSpec> = {}): JobSpec => ({
-  id,
-  className: "maps",
-  team: "blue",
-  kind: "array",
-  priority: "normal",
-  tasks: 1,
-  cpus: 4,
-  gpus: 0,
-  memoryGb: 2,
-  image: "img",
-  imageGb: 1,
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: true,
-  estimate: Duration.seconds(30),
-  checkpoint: Duration.zero,
-  save: Duration.zero,
-  deadline: null,
-  awaits,
-  ...more,
-});
+const spec = (id: string, awaits: readonly string[], more: Partial<JobSpec> = {}): JobSpec =>
+  jobSpec({ id, awaits, ...more });
 
 interface Values {
   readonly rank: number;
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -11,31 +11,7 @@
 import { ZoneWatch } from "../src/core/zones.js";
 import { SPANS, TEAMS, TYPES } from "./model.js";
 import { recount } from "./recount.js";
-
-const spec = (more: Partial<JobSpec>): JobSpec => ({
-  id: "req-000001",
-  className: "maps",
-  team: "blue",
-  kind: "array",
-  priority: "normal",
-  tasks: 1,
-  cpus: 4,
-  gpus: 0,
-  memoryGb: 2,
-  image: "img",
-  imageGb: 1,
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: true,
-  estimate: Duration.seconds(30),
-  checkpoint: Duration.zero,
-  save: Duration.zero,
-  deadline: null,
-  awaits: [],
-  ...more,
-});
+import { jobSpec as spec } from "./specs.js";
 
 /** A scheduler with small machines (8 processors each) that execute and report at once. */
 class Scene {
--- /dev/null
+++ b/test/specs.ts
@@ -0,0 +1,28 @@
+/** A plain array job, for tests that name only what they are about. */
+import * as Duration from "effect/Duration";
+import type { JobSpec } from "../src/core/records.js";
+
+export const jobSpec = (more: Partial<JobSpec>): JobSpec => ({
+  id: "req-000001",
+  className: "maps",
+  team: "blue",
+  kind: "array",
+  priority: "normal",
+  tasks: 1,
+  cpus: 4,
+  gpus: 0,
+  memoryGb: 2,
+  image: "img",
+  imageGb: 1,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: true,
+  estimate: Duration.seconds(30),
+  checkpoint: Duration.zero,
+  save: Duration.zero,
+  deadline: null,
+  awaits: [],
+  ...more,
+});
