--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -24,6 +24,8 @@
   /** Since when a finish waits to be stored. */
   since: Instant | null;
   writing: boolean;
+  /** Whether the state service refused its last write, which held nothing else. */
+  refused: boolean;
   /** Writes that failed, or that may be carried out yet. */
   unanswered: number;
 }
@@ -204,6 +206,7 @@
         written: new Map(),
         since: null,
         writing: false,
+        refused: false,
         unanswered: 0,
       };
       this.finishes.set(job, f);
@@ -239,10 +242,14 @@
   toStore(writer: string, most: number, now: Instant, isOpen: (job: string) => boolean): Writing[] {
     const out: Writing[] = [];
     let room = most;
-    for (const job of this.unstored) {
-      if (room <= 0) break;
+    // what was refused by itself comes last and alone: in one write with others it would hold them up again
+    const refused = [...this.unstored].filter((job) => this.finishes.get(job)!.refused);
+    const others = [...this.unstored].filter((job) => !this.finishes.get(job)!.refused);
+    for (const job of [...others, ...refused]) {
       const f = this.finishes.get(job)!;
+      if (room <= 0 || (f.refused && out.length > 0)) break;
       if (f.writing || f.since === null || !passed(now, f.since, this.gather)) continue;
+      if (f.refused) room = 1;
       if (!isOpen(job)) {
         if (passed(now, f.since, GIVE_UP_AFTER)) this.jobOver(job);
         continue;
@@ -270,8 +277,12 @@
     f.writing = false;
     if (result === "over") this.jobOver(w.job);
     if (result === "failed") f.unanswered++;
-    if (result === "refused") f.since = plus(now, REFUSED_PAUSE);
+    if (result === "refused") {
+      f.refused = true;
+      f.since = plus(now, REFUSED_PAUSE);
+    }
     if (result !== "stored") return;
+    f.refused = false;
     for (const put of w.puts) {
       f.written.set(put.chunk, put.text);
       for (const [from, to] of put.ranges)
--- a/src/service/member.ts
+++ b/src/service/member.ts
@@ -250,8 +250,11 @@
       // which one is too large isn't known until it goes alone; it then gives way to the others
       const alone = apply.length <= 1;
       if (refused) {
-        this.storePuts = Math.max(1, Math.floor(this.storePuts / 2));
-        yield* Effect.sleep(this.refusals.refused("finishes", result.error));
+        // half of what was sent, which may be less than could have been: that soon shows which one it is
+        this.storePuts = Math.max(1, Math.floor(apply.length / 2));
+        const pause = this.refusals.refused("finishes", result.error);
+        // one by itself is put off by the part; others needn't wait for that
+        if (!alone) yield* Effect.sleep(pause);
       } else if (result.ok === null) this.log.debug({ why: result.error }, "finishes not stored yet");
       else {
         this.refusals.accepted("finishes");
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -205,6 +205,37 @@
   assert.equal(next(40_000)[0]!.job, "req-1");
 });
 
+test("finishes that were refused by themselves come alone after the others, until they are stored", () => {
+  const { part, report } = newsOf(1);
+  let seq = 1;
+  const done = (job: string, index: number) =>
+    part.take(
+      { ...report(0, ++seq), tasks: [{ job, index, attempt: 1, state: "exited", why: "done" }] },
+      instant(0),
+    );
+  const next = (at: number) => part.toStore("a.1", 20, instant(at), () => true);
+  done("req-1", 0);
+  const [first] = next(5000);
+  part.storeAnswered(first!, "refused", instant(5000));
+  for (const job of ["req-2", "req-3"]) done(job, 0);
+  // long after its pause
+  const others = next(60_000);
+  assert.deepEqual(
+    others.map((w) => w.job),
+    ["req-2", "req-3"],
+  );
+  for (const w of others) part.storeAnswered(w, "stored", instant(60_000));
+  const [again, ...more] = next(60_001);
+  assert.deepEqual([again!.job, more], ["req-1", []]);
+  part.storeAnswered(again!, "stored", instant(60_001));
+  done("req-1", 5);
+  done("req-4", 0);
+  assert.deepEqual(
+    next(90_000).map((w) => w.job),
+    ["req-1", "req-4"],
+  );
+});
+
 test("pauses after refusals grow up to half a minute, and are short again after a success", () => {
   const backoff = new Backoff();
   const pauses = Array.from({ length: 12 }, () => Duration.toMillis(backoff.refused()));
