--- a/src/service/blocks.ts
+++ b/src/service/blocks.ts
@@ -16,6 +16,7 @@
  */
 import { jsonBytes, pack } from "../core/packing.js";
 import type { MachineRecord } from "../core/records.js";
+import type { Instant } from "../core/time.js";
 
 type Machines = Readonly<Record<string, MachineRecord>>;
 
@@ -47,6 +48,8 @@
   split: readonly Piece[] | null;
   /** A piece of such a split: not to be written until that is answered. */
   held: boolean;
+  /** Its write was refused by itself: until then it isn't written. */
+  putOff: Instant | null;
 }
 
 export const opsOf = (r: Rewrite): number => 1 + r.pieces.length;
@@ -61,7 +64,13 @@
   private readonly dirty = new Set<string>();
 
   add(key: string, machines: Machines, held = false): void {
-    this.blocks.set(key, { machines: new Map(Object.entries(machines)), version: 0, split: null, held });
+    this.blocks.set(key, {
+      machines: new Map(Object.entries(machines)),
+      version: 0,
+      split: null,
+      held,
+      putOff: null,
+    });
     for (const id of Object.keys(machines)) this.byMachine.set(id, [...(this.byMachine.get(id) ?? []), key]);
   }
 
@@ -77,12 +86,19 @@
     this.byMachine.delete(id);
   }
 
+  /** This block was refused by itself: it gives way to the others until then. */
+  putOff(key: string, until: Instant): void {
+    const block = this.blocks.get(key);
+    if (block !== undefined) block.putOff = until;
+  }
+
   /** Blocks to be written anew in up to `most` changes, empty ones first: they cost the least. */
-  changed(most: number, room?: Room): Rewrite[] {
+  changed(most: number, room?: Room, at?: Instant): Rewrite[] {
     const candidates: Rewrite[] = [];
     for (const key of this.dirty) {
       const block = this.blocks.get(key)!;
       if (block.held) continue;
+      if (block.putOff !== null && at !== undefined && at < block.putOff) continue;
       const { machines, version, split } = block;
       if (split !== null) candidates.push({ key, machines: null, pieces: split, version });
       else if (machines.size === 0) candidates.push({ key, machines: null, pieces: [], version });
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -19,7 +19,7 @@
 } from "../core/records.js";
 import { type Decision, type OrderOutcome, Scheduler } from "../core/scheduler.js";
 import type { Spans } from "../core/term.js";
-import { type Instant, instant, minus, passed } from "../core/time.js";
+import { type Instant, instant, minus, passed, plus } from "../core/time.js";
 import { ZoneWatch } from "../core/zones.js";
 import { now } from "../io/clock.js";
 import type { CloudClient } from "../io/cloud-client.js";
@@ -545,8 +545,10 @@
     // a split may need a whole transaction, and so may what is of no more use: each goes first in its turn
     const room = { valueBytes: this.valueBytes, txnBytes: TXN_BYTES, newKey: this.newBlock };
     const firstDeletes = ++this.sweeps % 2 === 0 ? [...this.useless].slice(0, this.sweepOps) : [];
-    const rewrites = this.blocks.changed(Math.min(MAX_REWRITES, this.sweepOps - firstDeletes.length), room);
-    const left = this.sweepOps - rewrites.reduce((sum, r) => sum + opsOf(r), 0);
+    const most = Math.min(MAX_REWRITES, this.sweepOps - firstDeletes.length);
+    const rewrites = this.blocks.changed(most, room, now());
+    const rewriteOps = rewrites.reduce((sum, r) => sum + opsOf(r), 0);
+    const left = this.sweepOps - rewriteOps;
     const deletes = [...this.useless].slice(0, left);
     if (deletes.length + rewrites.length === 0) return;
     const created = rewrites.flatMap((r) => r.pieces);
@@ -563,11 +565,19 @@
     );
     if (result.ok === null) {
       this.blocks.refused(rewrites);
-      this.sweepOps = Math.max(1, Math.floor(this.sweepOps / 2));
+      const [alone, ...others] = rewrites;
+      this.sweepOps = Math.max(1, Math.floor((deletes.length + rewriteOps) / 2));
+      if (alone !== undefined && others.length + deletes.length === 0) {
+        // the same would be refused again, and as the first in line it would hold up all others
+        const pause = this.refusals.refused("record of machines gone", result.error, alone.key);
+        this.blocks.putOff(alone.key, plus(now(), pause));
+        return;
+      }
       yield* Effect.sleep(this.refusals.refused("sweep", result.error));
       return;
     }
     this.refusals.accepted("sweep");
+    for (const { key } of rewrites) this.refusals.accepted("record of machines gone", key);
     if (result.ok) {
       this.sweepOps = Math.min(this.options.txnOps, this.sweepOps + 1);
       for (const key of deletes) this.useless.delete(key);
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -236,6 +236,21 @@
   );
 });
 
+test("a record of machines that was refused by itself gives way to the others for a while", () => {
+  const blocks = new Blocks();
+  for (const key of ["machines/1", "machines/2"]) {
+    blocks.add(key, Object.fromEntries([machine(1), machine(2)]));
+  }
+  blocks.remove(machine(1)[0]);
+  const [refused] = blocks.changed(1, undefined, instant(0));
+  assert.equal(refused!.key, "machines/1");
+  blocks.refused([refused!]);
+  blocks.putOff(refused!.key, instant(1000));
+  const keysAt = (at: number): string[] => blocks.changed(5, undefined, instant(at)).map((r) => r.key);
+  assert.deepEqual(keysAt(500), ["machines/2"]);
+  assert.deepEqual(keysAt(1000), ["machines/1", "machines/2"]);
+});
+
 test("pauses after refusals grow up to half a minute, and are short again after a success", () => {
   const backoff = new Backoff();
   const pauses = Array.from({ length: 12 }, () => Duration.toMillis(backoff.refused()));
