--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -69,7 +69,7 @@
       peers,
       log,
     );
-    const status = new Status(state, mirror, settings.stateLimits.txnOps * 4);
+    const status = new Status(state, mirror, settings.stateLimits.txnOps * 4, log);
     const releases = new Releases(state, mirror, status, log);
     const leader = new Leader(
       {
--- a/src/service/status.ts
+++ b/src/service/status.ts
@@ -6,9 +6,13 @@
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
 import { type CommitRecord, keys, type Outcome } from "../core/records.js";
+import { type Instant, plus } from "../core/time.js";
+import { now } from "../io/clock.js";
 import type { Condition } from "../io/codec.js";
+import type { Log } from "../io/log.js";
 import { type StateClient, type StateError, Unavailable } from "../io/state-client.js";
 import type { Mirror } from "./mirror.js";
+import { Refusals } from "./refusals.js";
 
 export type Standing =
   | { readonly kind: "final"; readonly commit: CommitRecord }
@@ -41,12 +45,18 @@
   /** Questions that got no answer, the oldest first: they go before others, so that no job's are always put off. */
   private readonly putOff = new Map<string, number>();
   private order = 0;
+  /** Waiting jobs whose cancel the state service refused, and until when it isn't tried again. */
+  private readonly refusedUntil = new Map<string, Instant>();
+  private readonly refusals: Refusals;
 
   constructor(
     private readonly state: StateClient,
     private readonly mirror: Mirror,
     private readonly conditions: number,
-  ) {}
+    log: Log,
+  ) {
+    this.refusals = new Refusals(log);
+  }
 
   /** A job's outcome, if it is known here. */
   outcome(id: string): CommitRecord | undefined {
@@ -286,11 +296,19 @@
   cancelWaiting(id: string, tasks: number): Effect.Effect<CommitRecord, StateError> {
     return Effect.gen(this, function* () {
       const commit: CommitRecord = { outcome: "cancelled", tasks };
+      // the same write would be refused again: neither the leader's rounds nor each question of a user may repeat it
+      if (now() < (this.refusedUntil.get(id) ?? 0))
+        return yield* Effect.fail(new Unavailable({ why: "its cancel was refused a moment ago" }));
       const result = yield* this.state.commit(
         [{ key: keys.commit(id), stamp: 0 }],
         [{ put: keys.commit(id), value: commit }, { delete: keys.waiting(id) }, { delete: keys.fanin(id) }],
       );
-      if (result.ok === null) return yield* Effect.fail(new Unavailable({ why: result.error }));
+      if (result.ok === null) {
+        this.refusedUntil.set(id, plus(now(), this.refusals.refused("passed-on cancel", result.error, id)));
+        return yield* Effect.fail(new Unavailable({ why: result.error }));
+      }
+      this.refusals.accepted("passed-on cancel", id);
+      this.refusedUntil.delete(id);
       this.remember(id, commit);
       this.mirror.remove(id);
       return commit;
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -100,7 +100,7 @@
     },
   } as unknown as StateClient;
   // four conditions make batches of two
-  const status = new Status(fake, new Mirror(fake, log), 4);
+  const status = new Status(fake, new Mirror(fake, log), 4, log);
   const ask = (...ids: string[]) =>
     Effect.runPromise(
       Effect.forEach(ids, (id) => Effect.either(status.of(id)), { concurrency: "unbounded" }),
@@ -157,7 +157,7 @@
   ] as const)
     mirror.putWaiting(keys.waiting(id), record(id, [...awaits]), 1);
   // fewer conditions than the chain is long
-  const status = new Status(fake, mirror, 3);
+  const status = new Status(fake, mirror, 3, log);
   const ask = (id: string) => Effect.runPromise(status.of(id));
   const last = await ask("req-4");
   assert.deepEqual(last, { kind: "final", commit: { outcome: "cancelled", tasks: 2 } });
@@ -172,7 +172,7 @@
   mirrors.push(partly);
   partly.putWaiting(keys.waiting("req-8"), record("req-8", ["req-3"]), 1);
   commits.delete("commit/req-4");
-  const behind = new Status(fake, partly, 3);
+  const behind = new Status(fake, partly, 3, log);
   const answer = await Effect.runPromise(behind.of("req-8"));
   assert.deepEqual(answer, { kind: "final", commit: { outcome: "cancelled", tasks: 2 } });
   // a parent that is done needn't be asked about again
@@ -212,6 +212,24 @@
 const CANCELLED = { outcome: "cancelled", tasks: 2 };
 const CHAIN = { "req-2": ["req-1"], "req-3": ["req-2"], "req-4": ["req-3"] };
 
+test("a passed-on cancel that is refused comes again after growing pauses, however often it is asked for", async () => {
+  const refuses = (written: readonly string[]): boolean => written.includes(keys.commit("req-77"));
+  standIn.refuses.add(refuses);
+  const status = new Status(state, new Mirror(state, log), 64, log);
+  const cancel = () => Effect.runPromise(Effect.either(status.cancelWaiting("req-77", 2)));
+  const began = Date.now();
+  for (let i = 0; i < 20; i++) assert.equal((await cancel())._tag, "Left");
+  // the first pause is 250 ms, and each is twice the one before
+  const most = 2 + Math.floor(Math.log2(1 + (Date.now() - began) / 250));
+  assert.ok(standIn.refused.length <= most, `${standIn.refused.length} attempts where ${most} may be`);
+  standIn.refuses.delete(refuses);
+  for (let i = 0; i < 1200 && !standIn.rows.has(keys.commit("req-77")); i++) {
+    await cancel();
+    await new Promise((done) => setTimeout(done, 25));
+  }
+  assert.ok(standIn.rows.has(keys.commit("req-77")));
+});
+
 test("a process that heard of nothing yet looks through what comes before a waiting job", async () => {
   // asked of a process that knows nothing, and of one that knows the job itself alone
   for (const known of [false, true]) {
@@ -219,7 +237,7 @@
     rows.set(keys.commit("req-1"), CANCELLED);
     const last = keys.waiting("req-4");
     if (known) mirror.putWaiting(last, rows.get(last), 1);
-    const answer = await Effect.runPromise(new Status(fake, mirror, 64).of("req-4"));
+    const answer = await Effect.runPromise(new Status(fake, mirror, 64, log).of("req-4"));
     assert.deepEqual(answer, { kind: "final", commit: CANCELLED }, `the job itself is known: ${known}`);
     assert.ok(rows.has(keys.commit("req-4")) && !rows.has(last));
   }
@@ -237,7 +255,7 @@
     }
   });
   for (const id of Object.keys(CHAIN)) mirror.putWaiting(keys.waiting(id), rows.get(keys.waiting(id)), 1);
-  const answer = await Effect.runPromise(new Status(fake, mirror, 64).read("req-4"));
+  const answer = await Effect.runPromise(new Status(fake, mirror, 64, log).read("req-4"));
   assert.ok(passedOn);
   assert.deepEqual(answer, { kind: "final", commit: CANCELLED });
 });
@@ -252,7 +270,7 @@
     mirror.remove("req-4");
   });
   for (const id of Object.keys(CHAIN)) mirror.putWaiting(keys.waiting(id), rows.get(keys.waiting(id)), 1);
-  const answer = await Effect.runPromise(new Status(fake, mirror, 64).read("req-4"));
+  const answer = await Effect.runPromise(new Status(fake, mirror, 64, log).read("req-4"));
   assert.ok(ended);
   assert.deepEqual(answer, { kind: "final", commit: CANCELLED });
 });
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -49,6 +49,10 @@
   /** What was refused for its size or for the rate, by the first key it would have changed. */
   readonly tooLarge: string[] = [];
   readonly tooMany: string[] = [];
+  /** Which transactions are refused (400) whatever their size, by the keys that they would write or delete. */
+  readonly refuses = new Set<(keys: readonly string[]) => boolean>();
+  /** What was refused so. */
+  readonly refused: (readonly string[])[] = [];
 
   /** Watches that are open end too. */
   override stop(): void {
@@ -177,6 +181,11 @@
       this.tooLarge.push(first);
       return [400, { error: "too large" }];
     }
+    const keys = apply.map((c) => c.write ?? c.delete ?? "");
+    if ([...this.refuses].some((refuses) => refuses(keys))) {
+      this.refused.push(keys);
+      return [400, { error: "too large" }];
+    }
     if (apply.length > this.changesLeft) {
       this.tooMany.push(first);
       return [429, {}];
