--- a/src/io/peer-codec.ts
+++ b/src/io/peer-codec.ts
@@ -88,12 +88,15 @@
 }
 
 export interface Codec<T> {
+  /** The Avro schema with the names of its records and fields, which other versions know. */
+  readonly schema: unknown;
   encode(value: T): Buffer;
   decode(buffer: Buffer): T;
 }
 const codec = <T>(schema: unknown): Codec<T> => {
   const type = avro.Type.forSchema(schema as avro.Schema, { wrapUnions: false });
   return {
+    schema: type.schema(),
     encode: (value) => type.toBuffer(value),
     decode: (buffer) => type.fromBuffer(buffer) as T,
   };
--- /dev/null
+++ b/test/releases.test.ts
@@ -0,0 +1,402 @@
+/**
+ * What the version in production and the last landing store and say, kept as fixed bytes: this version reads all of it
+ * as it was meant, and what it writes is read by the schemas of both. The names that are stored are compared with
+ * literals here, so that a rename in the code can't move one of them.
+ */
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { createHash } from "node:crypto";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import type http from "node:http";
+import { type AddressInfo, createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, test } from "node:test";
+import { Ajv } from "ajv";
+import avro from "avsc";
+import * as Duration from "effect/Duration";
+import { RangeSet } from "../src/core/ranges.js";
+import { keys, type MachineRecord } from "../src/core/records.js";
+import {
+  acceptedOf,
+  jobRecord,
+  parseSubmission,
+  readFanin,
+  readJob,
+  releasedOf,
+  releasedRecord,
+} from "../src/io/codec.js";
+import * as peerCodec from "../src/io/peer-codec.js";
+import { Blocks } from "../src/service/blocks.js";
+import { fromPieces } from "../src/service/mailbox.js";
+import { CloudStandIn, StateStandIn } from "./standins.js";
+
+type Json = Record<string, unknown>;
+type MessageType = "Sync" | "SyncAnswer" | "Deliver" | "Delivered" | "Word" | "WordAnswer";
+interface Write {
+  readonly key: string;
+  /** Left out: the key was deleted. */
+  readonly value?: unknown;
+}
+interface Records {
+  readonly records: readonly { key: string; value: Json; meaning?: Json }[];
+  readonly transactions: readonly { what: string; writes: readonly Write[] }[];
+  readonly news: readonly { trimmed: boolean; pieces: readonly Write[]; meaning: Json }[];
+}
+interface Schemas {
+  readonly messages: Record<MessageType, avro.Schema>;
+  readonly records: Record<string, object>;
+  readonly keys: { prefixes: string[]; single: string[]; byId: string[] };
+}
+interface Messages {
+  readonly messages: readonly { type: MessageType; data: string; meaning: Json }[];
+}
+
+const kept = <T>(name: string): T & { commit: string } =>
+  JSON.parse(readFileSync(new URL(`../../../test/${name}.json`, import.meta.url), "utf8")) as T & {
+    commit: string;
+  };
+const LAST = "releases/ff552d5";
+const last = kept<Records>(`${LAST}/records`);
+const { messages } = kept<Messages>(`${LAST}/messages`);
+const schemas = {
+  production: kept<Schemas>("production/schemas"),
+  last: kept<Schemas>(`${LAST}/schemas`),
+};
+type Release = keyof typeof schemas;
+
+const codecs = {
+  Sync: peerCodec.syncCodec,
+  SyncAnswer: peerCodec.syncAnswerCodec,
+  Deliver: peerCodec.deliverCodec,
+  Delivered: peerCodec.deliveredCodec,
+  Word: peerCodec.wordCodec,
+  WordAnswer: peerCodec.wordAnswerCodec,
+} as unknown as Record<MessageType, peerCodec.Codec<Json>>;
+const MESSAGES = Object.keys(codecs) as MessageType[];
+
+const ajv = new Ajv({ strict: false });
+const compiled = (release: Release) =>
+  Object.entries(schemas[release].records)
+    .map(([prefix, schema]) => ({ prefix, check: ajv.compile(schema) }))
+    .sort((a, b) => b.prefix.length - a.prefix.length);
+const checks: Record<Release, ReturnType<typeof compiled>> = {
+  production: compiled("production"),
+  last: compiled("last"),
+};
+/** What a release would say to a record; null: it reads it, or never sees its key. */
+const misread = (release: Release, key: string, value: unknown): string | null => {
+  const { prefixes, single, byId } = schemas[release].keys;
+  const sees = single.includes(key) || [...prefixes, ...byId].some((p) => key.startsWith(p));
+  if (!sees) return release === "last" ? `${key}: not known there` : null;
+  const found = checks[release].find(({ prefix }) =>
+    prefix.endsWith("/") ? key.startsWith(prefix) : key === prefix,
+  );
+  if (found === undefined) return `${key}: not known there`;
+  return found.check(value) ? null : `${key}: ${ajv.errorsText(found.check.errors)}`;
+};
+const assertReadByBoth = (key: string, value: unknown): void => {
+  for (const release of ["production", "last"] as const) assert.equal(misread(release, key, value), null);
+};
+const plain = (value: unknown): unknown => JSON.parse(JSON.stringify(value));
+const of = (prefix: string) => last.records.filter((r) => r.key.startsWith(prefix));
+const idOf = (key: string): string => key.split("/")[1]!;
+
+// --- names ----------------------------------------------------------------------------------------------------
+
+test("stored keys are these, letter by letter", () => {
+  const names = Object.fromEntries(
+    Object.entries(keys).map(([name, key]) => [
+      name,
+      typeof key === "string" ? key : (key as (...parts: unknown[]) => string)("req-000001", "north.7", 3),
+    ]),
+  );
+  assert.deepEqual(Object.values(names).sort(), [
+    "cluster/",
+    "cluster/leader",
+    "cluster/member/",
+    "cluster/member/req-000001",
+    "cluster/term",
+    "commit/req-000001",
+    "job",
+    "job-fanin/",
+    "job-fanin/req-000001",
+    "job-waiting/",
+    "job-waiting/req-000001",
+    "job/",
+    "job/req-000001",
+    "machines/",
+    "machines/req-000001",
+    "news/",
+    "news/req-000001/north.7",
+    "ranges/",
+    "ranges/req-000001/north.7/3",
+    "rental/",
+    "rental/req-000001",
+    "types",
+  ]);
+  // and the last landing reads each of them
+  const { prefixes, single, byId } = schemas.last.keys;
+  for (const key of Object.values(names))
+    assert.ok(single.includes(key) || [...prefixes, ...byId].some((p) => key.startsWith(p)), key);
+});
+
+test("messages have the Avro names of both releases, in their order", () => {
+  for (const type of MESSAGES)
+    for (const release of ["production", "last"] as const)
+      assert.deepEqual(plain(codecs[type].schema), schemas[release].messages[type], `${type} of ${release}`);
+});
+
+// --- what the last landing wrote ------------------------------------------------------------------------------
+
+test("the kept schemas fit what is kept", () => {
+  for (const file of ["records", "messages", "schemas"])
+    assert.equal(kept(`${LAST}/${file}`).commit, last.commit);
+  const written = [...last.records, ...last.transactions.flatMap((t) => t.writes)];
+  for (const { key, value } of written) if (value !== undefined) assertReadByBoth(key, value);
+  for (const { key, value } of last.news.flatMap((n) => n.pieces)) assertReadByBoth(key, value);
+  for (const prefix of Object.keys(schemas.last.records))
+    assert.ok(of(prefix).length > 0 || prefix === "news/", `no record of ${prefix}`);
+});
+
+test("jobs, waiting jobs and released jobs of the last landing are read as they were meant", () => {
+  const jobs = [...of("job/"), ...of("job-waiting/")];
+  for (const { key, value, meaning } of jobs) {
+    const spec = readJob(idOf(key), value);
+    assert.ok(spec !== null, key);
+    const read = Object.entries(spec).map(([name, x]) => [
+      name,
+      Duration.isDuration(x) ? Duration.toMillis(x) : x,
+    ]);
+    assert.deepEqual(
+      {
+        ...Object.fromEntries(read),
+        acceptedMs: acceptedOf(value)!.getTime(),
+        releasedMs: releasedOf(value)?.getTime() ?? null,
+      },
+      meaning,
+      key,
+    );
+    // and are what this version would have written, byte by byte
+    const { accepted_ms: accepted, released_ms: released, ...submission } = value;
+    const parsed = parseSubmission(JSON.stringify(submission));
+    assert.ok(typeof parsed !== "string", key);
+    const record = jobRecord(parsed.wire, new Date(accepted as number));
+    const written = released === undefined ? record : releasedRecord(record, new Date(released as number));
+    assert.equal(JSON.stringify(written), JSON.stringify(value), key);
+  }
+  assert.ok(of("job-waiting/").every(({ value }) => Array.isArray(value["awaits"])));
+  assert.ok(of("job/").filter(({ value }) => Number.isInteger(value["released_ms"])).length >= 3);
+});
+
+test("sets, commits, ranges and machines of the last landing are read as they were meant", () => {
+  for (const { key, value, meaning } of of("job-fanin/"))
+    assert.deepEqual(readFanin(value), meaning, `${key} as it was read there`);
+  const released = of("job-fanin/").filter(({ meaning }) => meaning!["released"] === true);
+  assert.ok(released.length >= 2 && released.length < of("job-fanin/").length);
+  const outcomes = of("commit/").map(({ value }) => value["outcome"]);
+  for (const outcome of ["done", "cancelled"]) assert.ok(outcomes.includes(outcome), outcome);
+  for (const { value } of of("ranges/")) {
+    const ranges = value["ranges"] as [number, number][];
+    assert.deepEqual(RangeSet.of(ranges).ranges(), ranges);
+  }
+  for (const { key, value } of of("machines/")) {
+    const machines = value["machines"] as Record<string, MachineRecord>;
+    const [first, ...rest] = Object.keys(machines);
+    const blocks = new Blocks();
+    blocks.add(key, machines);
+    blocks.remove(first!);
+    const left = rest.length === 0 ? null : Object.fromEntries(rest.map((id) => [id, machines[id]!]));
+    assert.deepEqual(blocks.changed(1)[0]!.machines, left);
+  }
+});
+
+test("messages and news of the last landing are read as they were meant, and written as it would read them", () => {
+  for (const type of MESSAGES)
+    assert.ok(
+      messages.some((m) => m.type === type),
+      type,
+    );
+  const theirs = (release: Release, type: MessageType) =>
+    avro.Type.forSchema(schemas[release].messages[type], { wrapUnions: false });
+  for (const { type, data, meaning } of messages) {
+    const bytes = Buffer.from(data, "base64");
+    assert.deepEqual(plain(codecs[type].decode(bytes)), meaning, type);
+    assert.equal(codecs[type].encode(meaning).toString("base64"), data, type);
+    for (const release of ["production", "last"] as const)
+      assert.deepEqual(plain(theirs(release, type).fromBuffer(bytes)), meaning, `${type} at ${release}`);
+  }
+  // a member that couldn't name all workers vouches for nobody
+  assert.ok(
+    messages.some(
+      ({ type, meaning }) => type === "Sync" && meaning["mark"] === -1 && (meaning["seen"] as []).length > 0,
+    ),
+  );
+  assert.deepEqual(
+    last.news.map((n) => n.pieces.length),
+    [1, 2, 4],
+  );
+  for (const { pieces, trimmed, meaning } of last.news) {
+    const sync = fromPieces(pieces.map((p) => p.value as { of: number; data: string }));
+    assert.ok(sync !== null);
+    const { reports, seen, stored, outcomes, mark } = sync;
+    const counts = { reports, seen, stored, outcomes };
+    const short = {
+      ...Object.fromEntries(Object.entries(counts).map(([name, list]) => [name, list.length])),
+      mark,
+      sha256: createHash("sha256").update(JSON.stringify(sync)).digest("hex"),
+    };
+    assert.deepEqual(trimmed ? short : plain(sync), meaning);
+  }
+});
+
+// --- a process of this version on what the last landing left ----------------------------------------------------
+
+class RecordingState extends StateStandIn {
+  readonly transactions: Write[][] = [];
+  override async handle(request: http.IncomingMessage): Promise<[number, unknown]> {
+    const before = this.ledger;
+    const had = [...this.rows.keys()];
+    const answer = await super.handle(request);
+    if (request.url !== "/commit" || this.ledger === before) return answer;
+    const written = [...this.rows].filter(([, row]) => row.stamp > before);
+    const deleted = had.filter((key) => !this.rows.has(key));
+    this.transactions.push([
+      ...written.map(([key, row]) => ({ key, value: row.value })),
+      ...deleted.map((key) => ({ key })),
+    ]);
+    return answer;
+  }
+}
+
+const MAIN = new URL("../../main.js", import.meta.url).pathname;
+const freePort = (): Promise<number> =>
+  new Promise((done) => {
+    const server = createServer();
+    server.listen(0, "127.0.0.1", () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => done(port));
+    });
+  });
+const until = async (what: string, fits: () => Promise<boolean> | boolean): Promise<void> => {
+  for (let i = 0; i < 1200; i++) {
+    if (await Promise.resolve(fits()).catch(() => false)) return;
+    await new Promise((done) => setTimeout(done, 50));
+  }
+  assert.fail(`never: ${what}`);
+};
+
+let child: ChildProcess | null = null;
+const stops: (() => void)[] = [];
+after(() => {
+  child?.kill("SIGKILL");
+  for (const stop of stops) stop();
+});
+
+/** The kinds of keys that a transaction writes and deletes of one job: its shape, whichever job it is. */
+const shapeOf = (writes: readonly Write[], id: string): string[] =>
+  writes
+    .filter(({ key }) => key.split("/")[1] === id)
+    .map(({ key, value }) => `${value === undefined ? "delete" : "write"} ${key.split("/")[0]}`)
+    .sort();
+const keptShape = (what: string): string[] => {
+  const { writes } = last.transactions.find((t) => t.what === what)!;
+  return shapeOf(writes, idOf(writes[0]!.key));
+};
+
+test("this version goes on from waiting jobs, sets and released jobs of the last landing", async () => {
+  const state = new RecordingState();
+  let front = "";
+  const cloud = new CloudStandIn(() => front);
+  await state.start();
+  await cloud.start();
+  stops.push(
+    () => state.stop(),
+    () => cloud.stop(),
+  );
+  front = `127.0.0.1:${await freePort()}`;
+  const first = (key: string, fits: (value: Json) => boolean = () => true): void => {
+    const found = last.records.find((r) => r.key === key && fits(r.value));
+    assert.ok(found !== undefined, key);
+    state.put(key, found.value);
+  };
+  const joined = (count: number) => (value: Json) => (value["joined"] as string[]).length === count;
+  first("types");
+  for (const id of ["01", "04", "19"]) first(`commit/req-0000${id}`);
+  // released, with its set, by a leader that ended then
+  first("job/req-000002");
+  first("job-fanin/req-000002", (value) => value["released"] === true);
+  // waits for that one, and for one whose commit was joined already
+  first("job-waiting/req-000003");
+  first("job-fanin/req-000003", joined(1));
+  // one that it needs is done, the last one without a join, since the leader ended
+  first("job-waiting/req-000030");
+  first("job-fanin/req-000030", joined(1));
+  state.put("commit/req-000029", { outcome: "done", tasks: 2 });
+  first("job-waiting/req-000031");
+  first("job-fanin/req-000031");
+  // one that it needs is cancelled, and it wasn't passed on yet, nor from it
+  first("job-waiting/req-000010");
+  first("job-fanin/req-000010", joined(1));
+  first("job-waiting/req-000011");
+  first("job-fanin/req-000011", joined(0));
+  // a set that the commit of an earlier version left
+  first("commit/req-000005");
+  first("job-fanin/req-000005", joined(1));
+
+  const config = join(mkdtempSync(join(tmpdir(), "indigowick-")), "config.json");
+  writeFileSync(
+    config,
+    JSON.stringify({
+      member: "north",
+      domain: "east",
+      front,
+      peer_bind: `127.0.0.1:${await freePort()}`,
+      seeds: [],
+      external: { cloud: cloud.addr, state: state.addr },
+      params: {
+        zones: ["east"],
+        teams: [{ name: "red", cpus: 100, cpus_max: 200, gpus: 0, gpus_max: 0 }],
+        workers: { report_s: 0.2, lease_s: 10, gang_wait_s: 10, gang_peer_s: 2, cancel_s: 30 },
+        state: { rps: 1000, write_rps: 1000, value_kb: 16, txn_ops: 16, next: { value_kb: 1, txn_ops: 6 } },
+        cloud: { rps: 50, list_lag_s: 1 },
+        machine_limits: { max_connections: 1000 },
+      },
+    }),
+  );
+  child = spawn(process.execPath, [MAIN, "--config", config], {
+    stdio: ["ignore", "ignore", "inherit"],
+    env: { ...process.env, LOG_LEVEL: "error" },
+  });
+  const statusOf = async (id: string) => {
+    const response = await fetch(`http://${front}/v2/runs/${id}`);
+    return ((await response.json()) as Json)["status"];
+  };
+  for (const id of ["02", "03", "30", "31"])
+    await until(`${id} is done`, async () => (await statusOf(`req-0000${id}`)) === "done");
+  for (const id of ["10", "11"])
+    await until(`${id} is cancelled`, async () => (await statusOf(`req-0000${id}`)) === "aborted");
+  const left = (prefix: string): string[] => [...state.rows.keys()].filter((key) => key.startsWith(prefix));
+  await until("nothing is left of them", () => left("job").length === 0);
+
+  // before its parent's commit nothing of a job starts, and nothing of a cancelled one ever does
+  const at = (event: string): number => cloud.events.findIndex((e) => e.startsWith(event));
+  const lastDone = cloud.events.map((e) => e.startsWith("done req-000002/")).lastIndexOf(true);
+  assert.ok(at("start req-000003/") > lastDone && lastDone >= 0);
+  for (const id of ["10", "11", "01", "04"]) assert.equal(at(`start req-0000${id}/`), -1, id);
+
+  // each step is the transaction that the last landing makes of it, in names that both read
+  const shapes = (id: string): string[][] =>
+    state.transactions.map((t) => shapeOf(t, id)).filter((shape) => shape.length > 0);
+  const includes = (id: string, what: string): void =>
+    assert.ok(
+      shapes(id).some((shape) => JSON.stringify(shape) === JSON.stringify(keptShape(what))),
+      `${id}: ${what}: ${JSON.stringify(shapes(id))}`,
+    );
+  for (const id of ["req-000003", "req-000030", "req-000031"])
+    includes(id, "the add that fills a set releases its job");
+  for (const id of ["req-000002", "req-000003"]) includes(id, "the commit of a released job deletes its set");
+  for (const id of ["req-000010", "req-000011"]) includes(id, "a cancel is passed on to a waiting job");
+  for (const { key, value } of state.transactions.flat())
+    if (value !== undefined) assertReadByBoth(key, value);
+});
