--- a/src/io/state-client.ts
+++ b/src/io/state-client.ts
@@ -18,6 +18,11 @@
 export class TooOld extends Data.TaggedError("TooOld")<object> {}
 
 export type StateError = Unavailable | Unanswered;
+
+const OVER_THE_RATE = "429";
+/** The service had no room for it in its rate, and may have a moment later. */
+export const isOverTheRate = (e: StateError): boolean => e._tag === "Unavailable" && e.why === OVER_THE_RATE;
+
 export type CommitResult =
   | { readonly ok: true; readonly revision: number }
   | { readonly ok: false; readonly failed: readonly string[] }
@@ -149,7 +154,7 @@
           this.setRates();
           this.requests.refused(now(), Duration.millis(300));
           this.changes.refused(now(), Duration.millis(300));
-          return Effect.fail(new Unavailable({ why: "429" }));
+          return Effect.fail(new Unavailable({ why: OVER_THE_RATE }));
         }
         return Effect.succeed(reply);
       }),
--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -20,11 +20,12 @@
 } from "../io/codec.js";
 import type { Log } from "../io/log.js";
 import { listen, readBody } from "../io/server.js";
-import type { StateClient } from "../io/state-client.js";
+import { isOverTheRate, type StateClient } from "../io/state-client.js";
 import type { Leader } from "./leader.js";
 import type { Member } from "./member.js";
 import type { Mirror } from "./mirror.js";
 import type { Standing, Status } from "./status.js";
+import { commitForUser } from "./user-writes.js";
 
 interface Answer {
   readonly status: number;
@@ -192,11 +193,9 @@
   private accept(wire: WireJob) {
     return Effect.gen(this, function* () {
       const record = jobRecord(wire, new Date());
-      const result = yield* this.state.commit(
-        this.isNew(wire.ref),
-        [{ put: keys.job(wire.ref), value: record }],
-        "vital",
-      );
+      const result = yield* commitForUser(this.state, this.isNew(wire.ref), [
+        { put: keys.job(wire.ref), value: record },
+      ]);
       if (result.ok === null) return problem(400, `can't be stored: ${result.error}`);
       if (result.ok === false) return yield* this.repeated(wire.ref);
       this.mirror.put(keys.job(wire.ref), record, result.revision);
@@ -268,7 +267,7 @@
                 { put: keys.waiting(id), value: record },
                 { put: keys.fanin(id), value: fanin },
               ];
-        const result = yield* this.state.commit(when, apply, "vital");
+        const result = yield* commitForUser(this.state, when, apply);
         if (result.ok === null)
           return yield* this.refused(id, problem(400, `can't be stored: ${result.error}`));
         if (result.ok === true) {
@@ -292,7 +291,11 @@
       return unsure("not decided");
     }).pipe(
       // a repeat of an accepted job gets its answer also when a parent's record can't be read
-      Effect.catchAll((e) => this.refused(wire.ref, unsure(typeof e === "string" ? e : e.why))),
+      Effect.catchAll((e) => {
+        const why = unsure(typeof e === "string" ? e : e.why);
+        // over the rate, the question for its standing would only keep the user from coming again
+        return typeof e !== "string" && isOverTheRate(e) ? Effect.succeed(why) : this.refused(wire.ref, why);
+      }),
     );
   }
 
@@ -359,7 +362,8 @@
         if (standing.kind === "absent") return problem(404, "no such run");
         if (standing.kind === "final") return answer(200, jobAnswer(id, standing.commit.outcome));
         const commit: CommitRecord = { outcome: "cancelled", tasks: standing.tasks };
-        const result = yield* this.state.commit(
+        const result = yield* commitForUser(
+          this.state,
           [
             { key: keys.commit(id), stamp: 0 },
             { key: standing.waiting ? keys.waiting(id) : keys.job(id), stamp: standing.stamp },
@@ -369,7 +373,6 @@
             { delete: standing.waiting ? keys.waiting(id) : keys.job(id) },
             ...(standing.waiting || this.mirror.fanins.has(id) ? [{ delete: keys.fanin(id) }] : []),
           ],
-          "vital",
         );
         if (result.ok === true) {
           this.status.remember(id, commit);
--- /dev/null
+++ b/src/service/user-writes.ts
@@ -0,0 +1,24 @@
+/**
+ * Writes that a user waits for: submissions and cancels. They keep to no pace, so one that meets a burst of other changes
+ * is refused by the state service for its rate. Room for its one to three changes mostly comes within some hundred
+ * milliseconds, while a user who is refused comes back only after a second or more; so it is sent again a few times.
+ */
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+import * as Schedule from "effect/Schedule";
+import type { Change, Condition } from "../io/codec.js";
+import { type CommitResult, isOverTheRate, type StateClient, type StateError } from "../io/state-client.js";
+
+const RETRY_AFTER = Duration.millis(150);
+export const MAX_RETRIES = 4;
+
+/** Only what was certainly not carried out, and only for its rate, is sent again; any other failure is told at once. */
+export const commitForUser = (
+  state: StateClient,
+  when: readonly Condition[],
+  apply: readonly Change[],
+): Effect.Effect<CommitResult, StateError> =>
+  Effect.retry(state.commit(when, apply, "vital"), {
+    while: isOverTheRate,
+    schedule: Schedule.intersect(Schedule.spaced(RETRY_AFTER), Schedule.recurs(MAX_RETRIES)),
+  });
--- /dev/null
+++ b/test/user-writes.test.ts
@@ -0,0 +1,68 @@
+/** Submissions and cancels that the state service refuses for its rate. */
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import * as Effect from "effect/Effect";
+import * as Either from "effect/Either";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { isOverTheRate, StateClient } from "../src/io/state-client.js";
+import { commitForUser, MAX_RETRIES } from "../src/service/user-writes.js";
+import { StateStandIn } from "./standins.js";
+
+const SEEDS = 12;
+const MOST_REFUSALS = 2 * MAX_RETRIES;
+
+const standIn = new StateStandIn();
+let client: StateClient;
+
+before(async () => {
+  await standIn.start();
+  client = new StateClient(standIn.addr, { rps: 1000, writeRps: 1000 }, 1);
+});
+after(() => standIn.stop());
+
+const write = (key: string) =>
+  Effect.runPromise(
+    Effect.either(commitForUser(client, [{ key, stamp: 0 }], [{ put: key, value: "accepted" }])),
+  );
+
+test("a user's write is served however many refusals for the rate come first, up to a bound", async () => {
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const refusals = uniformInt(xoroshiro128plus(seed), 0, MOST_REFUSALS);
+    const key = `job/seed-${seed}`;
+    standIn.failing = Array.from({ length: refusals }, () => ({ status: 429, carriedOut: false }));
+    const result = await write(key);
+    const left = standIn.failing.length;
+    standIn.failing = [];
+    if (refusals <= MAX_RETRIES) {
+      assert.ok(Either.isRight(result) && result.right.ok === true, `seed ${seed}: not carried out`);
+      assert.equal(standIn.rows.get(key)?.value, "accepted");
+    } else {
+      assert.ok(Either.isLeft(result) && isOverTheRate(result.left), `seed ${seed}: not refused`);
+      assert.equal(standIn.rows.has(key), false);
+      assert.equal(left, refusals - MAX_RETRIES - 1, `seed ${seed}: sent more often than the bound allows`);
+    }
+  }
+});
+
+test("what may have been carried out, and what an outage refuses, is not sent again", async () => {
+  for (const [status, carriedOut, tag] of [
+    [503, false, "Unavailable"],
+    [500, true, "Unanswered"],
+  ] as const) {
+    const key = `job/status-${status}`;
+    // a second attempt would find the truth
+    standIn.failing = [{ status, carriedOut }];
+    const result = await write(key);
+    assert.ok(Either.isLeft(result) && result.left._tag === tag && !isOverTheRate(result.left));
+    assert.equal(standIn.rows.has(key), carriedOut);
+  }
+});
+
+test("a conflict is told as it is", async () => {
+  standIn.put("job/taken", "somebody else's");
+  standIn.failing = [{ status: 429, carriedOut: false }];
+  const result = await write("job/taken");
+  assert.ok(Either.isRight(result) && result.right.ok === false);
+  assert.deepEqual(result.right.failed, ["job/taken"]);
+});
