--- /dev/null
+++ b/src/core/cluster-machines.ts
@@ -0,0 +1,71 @@
+/** Adds, changes and drops machines, with the indices that follow from them. */
+import { removeHold } from "./cluster-holds.js";
+import { indexMachine } from "./cluster-indices.js";
+import type { Cluster, Machine } from "./cluster-state.js";
+import type { Instant } from "./time.js";
+
+type Writable<T> = { -readonly [K in keyof T]: T[K] };
+
+/** The fields of a machine on which indices rest: they are changed by `setMachine` alone. */
+export type MachineChange = Partial<
+  Pick<Machine, "recorded" | "confirmed" | "cpus" | "gpus" | "memoryGb" | "cacheGb">
+>;
+
+/** Adds a machine that the cluster doesn't have. */
+export const addMachine = (cluster: Cluster, machine: Machine): void => {
+  cluster.machines.set(machine.id, machine);
+  indexMachine(cluster, machine);
+};
+
+/** Changes fields on which indices rest. */
+export const setMachine = (cluster: Cluster, machine: Machine, change: MachineChange): void => {
+  Object.assign(machine, change);
+  indexMachine(cluster, machine);
+  cluster.attention.add(machine);
+  cluster.chances++;
+};
+
+/** A newer message of its worker came at `at`; moves it to the end of `hearing`. */
+export const heardOf = (cluster: Cluster, machine: Machine, at: Instant): void => {
+  if (machine.heard !== null && at <= machine.heard) return;
+  const first = machine.heard === null;
+  (machine as Writable<Machine>).heard = at;
+  cluster.hearing.delete(machine);
+  cluster.hearing.add(machine);
+  if (!first) return;
+  indexMachine(cluster, machine);
+  cluster.attention.add(machine);
+  cluster.chances++;
+};
+
+/** Counts a command batch without an answer, or resets the count once one is answered. */
+export const answeredDirectly = (
+  cluster: Cluster,
+  machine: Machine,
+  answered: boolean,
+  now: Instant,
+): void => {
+  if (!answered) {
+    machine.unanswered++;
+    machine.mute ??= now;
+    cluster.mute.add(machine);
+    return;
+  }
+  if (machine.unanswered > 0) cluster.chances++;
+  machine.unanswered = 0;
+  machine.mute = null;
+  cluster.mute.delete(machine);
+};
+
+/** Drops a machine that is gone for certain (S3), with all that it held. */
+export const dropMachine = (cluster: Cluster, machine: Machine): void => {
+  for (const hold of [...machine.holds.values()]) removeHold(cluster, hold);
+  cluster.machines.delete(machine.id);
+  cluster.free.set(machine, 0);
+  cluster.attention.delete(machine);
+  cluster.unconfirmed.delete(machine);
+  cluster.unrecorded.delete(machine);
+  cluster.hearing.delete(machine);
+  cluster.mute.delete(machine);
+  cluster.strayOn.delete(machine);
+};
--- /dev/null
+++ b/src/core/cluster-state.ts
@@ -0,0 +1,284 @@
+/**
+ * What the leader knows: jobs, machines, and the placements that tie tasks to machines. Types, constructors and plain
+ * predicates only. What changes several of these fields together is in the other `cluster-*` modules, which keep the
+ * indices of `Cluster` consistent.
+ */
+import { FreeMachines } from "./free.js";
+import type { Usage } from "./quota.js";
+import { RangeSet } from "./ranges.js";
+import { type JobSpec, type MachineRecord, RANK, type TaskState, type Why } from "./records.js";
+import { type Instant, plus } from "./time.js";
+
+/** Identifies one message of a worker: messages of one session are numbered, and a newer session is newer than all. */
+export interface ReportId {
+  readonly session: number;
+  readonly seq: number;
+}
+
+/**
+ * One attempt of a task that is, or may be, on a machine. While a hold exists the task is started nowhere else (S4):
+ * it is removed only once it is certain that the attempt neither runs nor can still start.
+ */
+export interface Hold {
+  readonly job: string;
+  readonly index: number;
+  readonly attempt: number;
+  readonly machine: string;
+  /** The job's spec; null while the job record is not known. */
+  readonly spec: JobSpec | null;
+  /** As last reported by the worker; `ordered`: the start command was decided on and has not shown in a report. */
+  state: TaskState | "ordered";
+  /** Why the attempt ended; null until it exited. */
+  why: Why | null;
+  /** When it entered its present state. */
+  since: Instant;
+  /** When it began to run; null if reports came too seldom to tell. */
+  began: Instant | null;
+  /** Token under which a start command got no answer: it may still be executed until the worker saw a higher token. */
+  doubt: number | null;
+  /** The report with which the worker answered the start; it may arrive later, and newer ones are conclusive. */
+  answered: ReportId | null;
+  /** A stop command was decided on. */
+  stopping: boolean;
+  /** Its finish is in the state service, so the worker may forget the task (S7). */
+  stored: boolean;
+}
+
+/** An unfinished released job, with the state of its tasks. */
+export interface Job {
+  readonly spec: JobSpec;
+  /** When it was accepted: its deadline counts from there. */
+  readonly accepted: Instant;
+  /** When it could first start, all that it awaits being done: its age in the queue counts from there. */
+  readonly seen: Instant;
+  /** Revision of the job record. A job younger than the leader's own key was never in an earlier leader's hands (S5). */
+  readonly stamp: number;
+  /** Tasks that are finished: stored as ranges, or reported as done by a worker. Never shrinks (S7). */
+  readonly done: RangeSet;
+  /** Those of them that are stored: only they may be forgotten by workers. */
+  readonly stored: RangeSet;
+  /** Tasks to be started: not done, and without a hold. Changed only by the `cluster-*` modules. */
+  readonly pending: RangeSet;
+  /** Every hold of the job, by task number. */
+  readonly holds: Map<number, Hold[]>;
+  /** Machines on which its tasks failed, and when last. */
+  readonly errorsOn: Map<string, Instant>;
+  /** Machines that turned its tasks down for lack of room, and when last. */
+  readonly refusedOn: Map<string, Instant>;
+  /** Nothing of it is started before this; null: at once. */
+  retryAt: Instant | null;
+  /** A commit was decided on and has not failed. */
+  committing: boolean;
+  /** Tasks that run or save right now. */
+  running: number;
+  /** The highest rank of the job itself and of the unfinished jobs that need it. */
+  rank: number;
+  /** When it has to be done: for its own deadline, or for the jobs that need it. */
+  due: Instant | null;
+}
+
+/** A machine: what it is, what its worker last reported, and what is decided about it. */
+export interface Machine {
+  readonly id: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  addr: string | null;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  cacheGb: number;
+  /** Session and number of the worker's latest report; 0: none yet. */
+  session: number;
+  seq: number;
+  /** The highest token that its worker was seen to know. */
+  token: number;
+  /** How often its own token was raised within this term, to settle unanswered starts (S2). */
+  step: number;
+  /** The member that last passed on a report. */
+  via: string | null;
+  /** When the cloud takes it back; null: no notice was given. */
+  noticeUntil: Instant | null;
+  /** Stored in the state service: only then may something be started on it (S5). */
+  readonly recorded: boolean;
+  /** A write of its record was decided on and has not failed. */
+  recording: boolean;
+  /** Reported under this term's token, or known to hold nothing: its holds are complete (S2). */
+  readonly confirmed: boolean;
+  /** When a newer message of its worker came last; null: none since this leader began. */
+  readonly heard: Instant | null;
+  /** When a member last answered a report, which alone renews the worker's lease; null: not since this leader began. */
+  renewed: Instant | null;
+  created: Instant;
+  /** The cloud lists it as failed. */
+  failed: boolean;
+  /** When its release was last requested; null: not requested. */
+  releasing: Instant | null;
+  /** Since when it has had no holds. */
+  idleSince: Instant | null;
+  /** Tasks that failed here since one last completed, by job. */
+  readonly blame: Map<string, number>;
+  /** Since when it gets no new work because of failures or slowness; null: it does. */
+  setAside: Instant | null;
+  /** Set aside for its speed, not for failures: tasks that complete on it are no reason to use it again. */
+  slow: boolean;
+  /** Its replicas are being moved to other machines, so that it can be returned. */
+  draining: boolean;
+  /** A batch of commands is on its way: nothing more is sent until it is answered. */
+  inFlight: boolean;
+  /** When it was last sent a batch without commands, whose answer is a report. */
+  probedAt: Instant | null;
+  /** Consecutive command batches without an answer. Reports that arrive by themselves don't reset it. */
+  unanswered: number;
+  /** Since when command batches have gone unanswered; null: the last one was answered. */
+  mute: Instant | null;
+  /** Room taken by its holds. */
+  readonly used: { cpus: number; gpus: number; memoryGb: number };
+  readonly holds: Map<string, Hold>;
+  /** How many tasks of each class it holds. */
+  readonly classes: Map<string, number>;
+  /** Images in its cache and their sizes, the least recently used first. */
+  readonly images: Map<string, number>;
+}
+
+/** The leader's whole state, with indices so that a step looks only at what changed or what waits. */
+export interface Cluster {
+  readonly jobs: Map<string, Job>;
+  readonly machines: Map<string, Machine>;
+  /** Room taken by each team's holds (S6). */
+  readonly usage: Map<string, Usage>;
+  /** Jobs with tasks to be started. */
+  readonly waiting: Set<Job>;
+  /** Jobs that are finished and have no commit yet. */
+  readonly covered: Set<Job>;
+  /** Machines with room. */
+  readonly free: FreeMachines;
+  /** Machines that the reconciler has to look at: tasks to stop or to forget, notices, drains. */
+  readonly attention: Set<Machine>;
+  /** Recorded machines that may hold tasks this leader doesn't know of (S5). */
+  readonly unconfirmed: Set<Machine>;
+  /** Machines heard of that have no record yet. */
+  readonly unrecorded: Set<Machine>;
+  /** Machines that this leader heard, the longest silent first. */
+  readonly hearing: Set<Machine>;
+  /** Machines whose last command batch went unanswered. */
+  readonly mute: Set<Machine>;
+  /** Holds whose start got no answer (S4). */
+  readonly doubts: Set<Hold>;
+  /** Holds whose job record is not known, by job. */
+  readonly strays: Map<string, Set<Hold>>;
+  /** How many such holds each machine has; their size is not known (S6). */
+  readonly strayOn: Map<Machine, number>;
+  /** How many tasks of each class are, or may be, on machines. */
+  readonly classes: Map<string, number>;
+  /** The same by the tasks' own rank. Inherited ranks are never lower: where this counts nothing low, nothing is. */
+  readonly ranks: number[];
+  /** The latest starts, oldest first: what was started last costs the least to stop. */
+  readonly started: Hold[];
+  /** Grows whenever a waiting task might fit where it didn't before. */
+  chances: number;
+  /** Grows whenever jobs come or go. */
+  jobChanges: number;
+  /** Called when a job's finished or running tasks change. */
+  progressed: (job: Job) => void;
+}
+
+/** A cluster without jobs and machines. */
+export const newCluster = (): Cluster => ({
+  jobs: new Map(),
+  machines: new Map(),
+  usage: new Map(),
+  waiting: new Set(),
+  covered: new Set(),
+  free: new FreeMachines(),
+  attention: new Set(),
+  unconfirmed: new Set(),
+  unrecorded: new Set(),
+  hearing: new Set(),
+  mute: new Set(),
+  doubts: new Set(),
+  strays: new Map(),
+  strayOn: new Map(),
+  classes: new Map(),
+  ranks: [0, 0, 0, 0],
+  started: [],
+  chances: 0,
+  jobChanges: 0,
+  progressed: () => undefined,
+});
+
+/** A machine of which only the record is known. Its size follows from its type (`Scope.applyType`). */
+export const newMachine = (id: string, record: MachineRecord, now: Instant): Machine => ({
+  id,
+  type: record.type,
+  zone: record.zone,
+  spot: record.spot,
+  addr: record.addr,
+  cpus: 0,
+  gpus: 0,
+  memoryGb: 0,
+  cacheGb: 0,
+  session: 0,
+  seq: 0,
+  token: 0,
+  step: 0,
+  via: null,
+  noticeUntil: null,
+  recorded: false,
+  recording: false,
+  confirmed: false,
+  heard: null,
+  renewed: null,
+  created: now,
+  failed: false,
+  releasing: null,
+  idleSince: null,
+  blame: new Map(),
+  setAside: null,
+  slow: false,
+  draining: false,
+  inFlight: false,
+  probedAt: null,
+  unanswered: 0,
+  mute: null,
+  used: { cpus: 0, gpus: 0, memoryGb: 0 },
+  holds: new Map(),
+  classes: new Map(),
+  images: new Map(),
+});
+
+/** A job of which every task is still to be started. */
+export const newJob = (spec: JobSpec, stamp: number, accepted: Instant, seen: Instant): Job => ({
+  spec,
+  accepted,
+  seen,
+  stamp,
+  done: new RangeSet(),
+  stored: new RangeSet(),
+  pending: RangeSet.of([[0, spec.tasks]]),
+  holds: new Map(),
+  errorsOn: new Map(),
+  refusedOn: new Map(),
+  retryAt: null,
+  committing: false,
+  running: 0,
+  rank: RANK[spec.priority],
+  due: spec.deadline === null ? null : plus(accepted, spec.deadline),
+});
+
+/** The key of a hold in `Machine.holds`. */
+export const holdKey = (job: string, index: number, attempt: number): string => `${job}/${index}#${attempt}`;
+
+/** Whether message `a` of a worker is `b` or newer. */
+export const notOlder = (a: ReportId, b: ReportId): boolean =>
+  a.session > b.session || (a.session === b.session && a.seq >= b.seq);
+
+/** Whether a hold takes room on its machine, and of its team's limit (S6). */
+export const occupies = (hold: Hold): boolean => hold.state !== "exited" || hold.doubt !== null;
+
+/** Whether the worker reported the attempt as running or as saving its checkpoint. */
+export const isActive = (hold: Hold): boolean => hold.state === "running" || hold.state === "saving";
+
+/** How important a task's job is; the task's own priority where the job is no longer known. */
+export const rankOf = (cluster: Cluster, hold: Hold & { readonly spec: JobSpec }): number =>
+  cluster.jobs.get(hold.job)?.rank ?? RANK[hold.spec.priority];
--- a/src/core/quota.ts
+++ b/src/core/quota.ts
@@ -1,23 +1,34 @@
-/** Team guarantees and limits. */
+/** Team guarantees and limits (`quota`, S6). What is counted as used includes all that may still run. */
 import type { JobSpec, Team } from "./records.js";
 
+/** Sums of fractions of processors and of gigabytes are compared up to this difference. */
+export const ROUNDING = 1e-6;
+
+/** Room that is in use. */
 export interface Usage {
   cpus: number;
   gpus: number;
 }
 
 /** 0 means: no limit. */
-const within = (used: number, limit: number): boolean => limit <= 0 || used <= limit + 1e-6;
+const within = (used: number, limit: number): boolean => limit <= 0 || used <= limit + ROUNDING;
 
+/** Whether so many tasks more would keep the team within its limits. */
 export const fitsLimit = (team: Team, used: Usage, job: JobSpec, tasks: number): boolean =>
   within(used.cpus + job.cpus * tasks, team.cpusMax) && within(used.gpus + job.gpus * tasks, team.gpusMax);
 
+/** Whether so many tasks more would keep the team within its guarantee; a guarantee of 0 holds nothing. */
 export const fitsGuarantee = (team: Team, used: Usage, job: JobSpec, tasks: number): boolean =>
-  used.cpus + job.cpus * tasks <= team.cpus + 1e-6 && used.gpus + job.gpus * tasks <= team.gpus + 1e-6;
+  used.cpus + job.cpus * tasks <= team.cpus + ROUNDING &&
+  used.gpus + job.gpus * tasks <= team.gpus + ROUNDING;
+
+/** How many tasks of the given size one limit leaves room for. */
+const roomFor = (limit: number, used: number, each: number): number =>
+  limit <= 0 || each <= 0 ? Infinity : Math.floor((limit - used + ROUNDING) / each);
 
 /** How many tasks of an array its team's limit allows at once, next to `used`. */
 export const roomInLimit = (team: Team, used: Usage, job: JobSpec): number => {
-  const by = (limit: number, taken: number, each: number) =>
-    limit <= 0 || each <= 0 ? Infinity : Math.floor((limit - taken + 1e-6) / each);
-  return Math.max(0, Math.min(by(team.cpusMax, used.cpus, job.cpus), by(team.gpusMax, used.gpus, job.gpus)));
+  const byCpus = roomFor(team.cpusMax, used.cpus, job.cpus);
+  const byGpus = roomFor(team.gpusMax, used.gpus, job.gpus);
+  return Math.max(0, Math.min(byCpus, byGpus));
 };
