--- a/src/core/cluster-holds.ts
+++ b/src/core/cluster-holds.ts
@@ -3,7 +3,15 @@
  * the counts by class and rank, and which tasks are pending. A task is pending only while nothing holds it (S4).
  */
 import { indexMachine, machineOf, removePending, tidyTask } from "./cluster-indices.js";
-import { type Cluster, type Hold, holdKey, isActive, type Job, type Machine, occupies } from "./cluster-state.js";
+import {
+  type Cluster,
+  type Hold,
+  holdKey,
+  isActive,
+  type Job,
+  type Machine,
+  occupies,
+} from "./cluster-state.js";
 import { type JobSpec, RANK } from "./records.js";
 
 type Sign = 1 | -1;
--- /dev/null
+++ b/src/core/command-sender.ts
@@ -0,0 +1,186 @@
+/**
+ * Sends what a step decided to the workers, one batch a machine at a time, and takes in what became of it. Whether a
+ * start may still be executed is settled here (S2, S4); machines that are silent or unconfirmed are asked for a report.
+ */
+import * as Duration from "effect/Duration";
+import { answeredDirectly, changeHold, type Hold, holdKey, type Machine, machineOf } from "./cluster.js";
+import { notOlder, removeHold, type ReportId } from "./cluster.js";
+import type { Decision, OrderOutcome } from "./decisions.js";
+import type { Outbox } from "./outbox.js";
+import type { Order } from "./records.js";
+import type { Scope } from "./scope.js";
+import { termOf, tokenOf } from "./term.js";
+import { type Instant, passed, plus } from "./time.js";
+
+const ASK_AGAIN = Duration.seconds(1);
+/** Behind a cut there may be hundreds that can't answer: after a few questions each is asked less often. */
+const ASK_SELDOM = Duration.seconds(4);
+const ASKED_OFTEN = 4;
+/** Questions put in one step: after a take-over all machines are asked, a few at a time. */
+const MAX_QUESTIONS = 12;
+/** How long nothing is decided for a machine whose commands could not be sent. */
+const BLOCKED_FOR = Duration.millis(500);
+/** Batches that are made up again without having been sent were sent under no token. */
+const NOT_SENT = 0;
+
+/** What became of a batch, and the report that the worker answered with. */
+export interface BatchResult {
+  readonly orders: readonly Order[];
+  /** The token under which it was sent; 0: it wasn't. */
+  readonly token: number;
+  readonly outcome: OrderOutcome;
+  readonly answeredBy: ReportId;
+}
+
+/** The way to the workers. Owns which machines are blocked because a batch could not be sent. */
+export class CommandSender {
+  /** Machines whose commands could not be sent, and until when nothing is decided for them. */
+  private readonly blockedUntil = new Map<Machine, Instant>();
+  /** How long after its last message a machine is asked for a report. */
+  private readonly askAfter: Duration.Duration;
+
+  constructor(private readonly scope: Scope) {
+    const interval = Duration.times(scope.options.spans.reportEvery, 1.25);
+    this.askAfter = Duration.sum(interval, Duration.millis(500));
+  }
+
+  /** Machines whose commands could not be sent for a while may be given some again. */
+  unblock(now: Instant): void {
+    const { cluster } = this.scope;
+    for (const [machine, until] of this.blockedUntil) {
+      if (now < until) continue;
+      this.blockedUntil.delete(machine);
+      if (cluster.machines.get(machine.id) !== machine) continue;
+      machine.inFlight = false;
+      cluster.attention.add(machine);
+      cluster.chances++;
+    }
+  }
+
+  /** A higher token settles whether an unanswered start was executed: a late one is refused from then on (S2). */
+  settleDoubts(): void {
+    const { cluster, term } = this.scope;
+    for (const hold of cluster.doubts) {
+      const machine = machineOf(cluster, hold);
+      if (hold.doubt !== null && hold.doubt >= tokenOf(term.token, machine.step)) machine.step++;
+    }
+  }
+
+  /** Sends this step's commands, then questions to machines that should have been heard. */
+  send(now: Instant, outbox: Outbox, decisions: Decision[]): void {
+    for (const id of outbox.orders.keys()) {
+      const machine = this.scope.cluster.machines.get(id);
+      const orders = outbox.take(id);
+      if (machine === undefined || orders === null) continue;
+      const sent = !machine.inFlight && this.sendBatch(machine, orders, decisions);
+      // one batch at a time: what can't be sent now is decided on again
+      if (!sent) this.answered(id, notSent(orders), now);
+    }
+    this.askForReports(now, decisions);
+  }
+
+  /** Whether the machine has an address to send to. */
+  private sendBatch(machine: Machine, orders: Order[], decisions: Decision[]): boolean {
+    if (machine.addr === null) return false;
+    machine.inFlight = true;
+    decisions.push({
+      kind: "orders",
+      machine: machine.id,
+      // what got no answer by one way is sent by the other
+      via: machine.unanswered % 2 === 1 ? this.otherWay(machine) : machine.via,
+      addr: machine.addr,
+      session: Math.max(1, machine.session),
+      token: tokenOf(this.scope.term.token, machine.step),
+      orders,
+    });
+    return true;
+  }
+
+  /**
+   * Beside the member that passes on a machine's reports, this node itself; and where that is the same, another member:
+   * a leader that lost only its connections to workers would otherwise take them for dead.
+   */
+  private otherWay(machine: Machine): string | null {
+    const { leader, members } = this.scope.term;
+    if (machine.via !== null && machine.via !== leader) return null;
+    const others = members.filter((member) => member.name !== leader);
+    const near = others.find((member) => member.zone === machine.zone);
+    return (near ?? others[0])?.name ?? null;
+  }
+
+  private askForReports(now: Instant, decisions: Decision[]): void {
+    let questions = 0;
+    for (const machine of this.toAsk(now)) {
+      if (questions >= MAX_QUESTIONS) break;
+      if (!this.mayAsk(machine, now)) continue;
+      machine.probedAt = now;
+      questions++;
+      this.sendBatch(machine, [], decisions);
+    }
+  }
+
+  /** Machines whose report is wanted; some come up more than once. */
+  private *toAsk(now: Instant): Iterable<Machine> {
+    const { cluster } = this.scope;
+    for (const hold of cluster.doubts) yield machineOf(cluster, hold);
+    // an earlier leader may have started something on these
+    for (const machine of cluster.unconfirmed) yield machine;
+    for (const machine of cluster.hearing) {
+      if (!this.isSilent(machine, now)) break;
+      yield machine;
+    }
+    yield* cluster.mute;
+  }
+
+  private isSilent(machine: Machine, now: Instant): boolean {
+    return machine.heard === null || passed(now, machine.heard, this.askAfter);
+  }
+
+  private mayAsk(machine: Machine, now: Instant): boolean {
+    if (!machine.recorded || machine.addr === null) return false;
+    if (machine.inFlight || machine.releasing !== null) return false;
+    const isOften = machine.unanswered < ASKED_OFTEN || !this.isSilent(machine, now);
+    const pause = isOften ? ASK_AGAIN : ASK_SELDOM;
+    return machine.probedAt === null || passed(now, machine.probedAt, pause);
+  }
+
+  /** What became of a batch; also of one that was not sent. */
+  answered(id: string, result: BatchResult, now: Instant): void {
+    const { cluster } = this.scope;
+    const machine = cluster.machines.get(id);
+    if (machine === undefined) return;
+    const { outcome, token } = result;
+    // a node whose queue is full, or that may not send now, won't send a moment later
+    if (outcome === "barred" && token !== NOT_SENT) this.blockedUntil.set(machine, plus(now, BLOCKED_FOR));
+    else if (termOf(token) === this.scope.term.token) machine.inFlight = false;
+    cluster.attention.add(machine);
+    cluster.chances++;
+    const isAnswer = outcome === "done" || outcome === "rejected";
+    if (outcome !== "barred") answeredDirectly(cluster, machine, isAnswer, now);
+    for (const order of result.orders) {
+      const hold = machine.holds.get(holdKey(order.job, order.index, order.attempt));
+      if (hold === undefined) continue;
+      if (order.op === "stop" && outcome !== "done") hold.stopping = false;
+      if (order.op === "start" && hold.state === "ordered") this.startAnswered(machine, hold, result);
+    }
+  }
+
+  /** A start that no report has shown yet: whether it may still be executed (S4). */
+  private startAnswered(machine: Machine, hold: Hold, { outcome, token, answeredBy }: BatchResult): void {
+    const { cluster } = this.scope;
+    // A report under a higher token came before this and didn't show the task: a late start is refused from then on. No
+    // later report would settle the doubt, since workers report changes alone.
+    const isRefusedLater = machine.token > token;
+    if (outcome === "unknown" && !isRefusedLater) changeHold(cluster, hold, { doubt: token });
+    // reports come by several ways: the one that shows the task may arrive after this answer
+    else if (outcome === "done" && !notOlder(machine, answeredBy)) hold.answered = answeredBy;
+    else removeHold(cluster, hold);
+  }
+}
+
+const notSent = (orders: readonly Order[]): BatchResult => ({
+  orders,
+  token: NOT_SENT,
+  outcome: "barred",
+  answeredBy: { session: 0, seq: 0 },
+});
--- /dev/null
+++ b/src/core/job-intake.ts
@@ -0,0 +1,106 @@
+/** Takes in what the leader hears of jobs: beginnings, releases, stored finishes and ends. */
+import { addJob, type Cluster, dropJob, finish, type Job, tidyTask } from "./cluster.js";
+import { Pipelines } from "./pipelines.js";
+import type { Range } from "./ranges.js";
+import type { JobSpec } from "./records.js";
+import type { Instant } from "./time.js";
+
+/** Marks a task as finished. The tasks of a gang complete together: if one is done, so are all. */
+export const finishTask = (cluster: Cluster, job: Job, index: number): void => {
+  if (job.spec.kind === "gang") finish(cluster, job, 0, job.spec.tasks);
+  else finish(cluster, job, index, index + 1);
+};
+
+/** The unfinished jobs: released ones are in the cluster, waiting ones only count for the jobs that they need. */
+export class JobIntake {
+  private readonly pipelines = new Pipelines();
+  private readonly waitingForOthers = new Set<string>();
+
+  constructor(private readonly cluster: Cluster) {}
+
+  /** Jobs known to wait for others. */
+  get awaiting(): ReadonlySet<string> {
+    return this.waitingForOthers;
+  }
+
+  /** A released job; null if it was known already. Its waiting record may be heard of before or after this (S12). */
+  released(spec: JobSpec, stamp: number, accepted: Instant, released: Instant): Job | null {
+    if (this.cluster.jobs.has(spec.id)) return null;
+    const job = addJob(this.cluster, spec, stamp, accepted, released);
+    this.waitingForOthers.delete(spec.id);
+    this.pipelines.add(spec, accepted);
+    job.rank = this.pipelines.rank(spec.id) ?? job.rank;
+    job.due = this.pipelines.due(spec.id);
+    this.passOn();
+    for (const [index, holds] of job.holds)
+      if (holds.some((hold) => hold.why === "done")) finishTask(this.cluster, job, index);
+    return job;
+  }
+
+  /** A job that waits for others: it is not started, and counts only for the jobs that it needs. */
+  waiting(spec: JobSpec, accepted: Instant): void {
+    if (this.cluster.jobs.has(spec.id)) return;
+    this.waitingForOthers.add(spec.id);
+    this.pipelines.add(spec, accepted);
+    this.passOn();
+  }
+
+  /** A job waits no longer: it was released or cancelled. */
+  waitingOver(id: string): void {
+    if (!this.waitingForOthers.delete(id)) return;
+    this.pipelines.remove(id);
+    this.passOn();
+  }
+
+  /** The job has its commit. */
+  over(id: string): void {
+    const job = this.cluster.jobs.get(id);
+    if (job !== undefined) dropJob(this.cluster, job);
+    this.waitingForOthers.delete(id);
+    this.pipelines.remove(id);
+    this.passOn();
+  }
+
+  /** Finishes that are in the state service (S7): workers may forget these tasks. */
+  stored(id: string, ranges: readonly Range[]): void {
+    const job = this.cluster.jobs.get(id);
+    if (job === undefined) return;
+    const isWholeGang = job.spec.kind === "gang" && ranges.length > 0;
+    const finished: readonly Range[] = isWholeGang ? [[0, job.spec.tasks]] : ranges;
+    for (const [from, to] of finished) {
+      job.stored.add(from, to);
+      for (let index = from; index < to; index++) this.markStored(job, index);
+      finish(this.cluster, job, from, to);
+    }
+  }
+
+  private markStored(job: Job, index: number): void {
+    const holds = job.holds.get(index);
+    if (holds === undefined) return;
+    for (const hold of holds) hold.stored = true;
+    tidyTask(this.cluster, job, index);
+  }
+
+  /** The commit could not be made: it is decided on again. */
+  commitFailed(id: string): void {
+    const job = this.cluster.jobs.get(id);
+    if (job === undefined) return;
+    job.committing = false;
+    if (job.done.covers(job.spec.tasks)) this.cluster.covered.add(job);
+  }
+
+  /** Gives released jobs the rank and the deadline that they inherit from the jobs that need them. */
+  private passOn(): void {
+    for (const id of this.pipelines.takeChanged()) {
+      const job = this.cluster.jobs.get(id);
+      const rank = this.pipelines.rank(id);
+      if (job === undefined || rank === null) continue;
+      const due = this.pipelines.due(id);
+      if (job.rank === rank && job.due === due) continue;
+      job.rank = rank;
+      job.due = due;
+      // the queue's order changes, and what may be stopped for whom
+      this.cluster.chances++;
+    }
+  }
+}
--- /dev/null
+++ b/src/core/job-queue.ts
@@ -0,0 +1,96 @@
+/**
+ * The order in which waiting jobs are served: by rank, then those within their team's guarantee, then by age. Owns which
+ * jobs are within a guarantee, and whether deadlines may bring jobs forward.
+ */
+import * as Duration from "effect/Duration";
+import type { Job } from "./cluster.js";
+import { timeFor } from "./pipelines.js";
+import { fitsGuarantee, type Usage } from "./quota.js";
+import { RANK } from "./records.js";
+import type { Scope } from "./scope.js";
+import { type Instant, passed, plus } from "./time.js";
+
+/** A job that waited this long without a single start goes before others of its rank, and with those above. */
+const LONG_WAIT = Duration.seconds(100);
+/** While a job above the lowest rank has waited this long without a start, no deadline brings lower jobs forward. */
+const STARVED_AFTER = Duration.seconds(40);
+
+interface Entry {
+  readonly job: Job;
+  readonly rank: number;
+  readonly isGuaranteed: boolean;
+}
+
+const compareEntries = (a: Entry, b: Entry): number =>
+  b.rank - a.rank || Number(b.isGuaranteed) - Number(a.isGuaranteed) || a.job.stamp - b.job.stamp;
+
+const hasStarted = (job: Job): boolean => job.holds.size > 0 || job.done.size > 0;
+
+/** Whether a job above the lowest rank has waited long for its first start. */
+const isStarved = (job: Job, now: Instant): boolean =>
+  job.rank > RANK.low && !hasStarted(job) && passed(now, job.seen, STARVED_AFTER);
+
+/** Sorts the cluster's waiting jobs; a look at each of them, and no more. */
+export class JobQueue {
+  private guaranteed: ReadonlySet<Job> = new Set();
+  /** `Cluster.jobChanges` when `guaranteed` was worked out. */
+  private guaranteedAt = -1;
+  private someStarved = false;
+
+  constructor(private readonly scope: Scope) {}
+
+  /** Waiting jobs that may be started now, the first to be served first. */
+  sorted(now: Instant): Job[] {
+    const { cluster } = this.scope;
+    this.updateGuaranteed();
+    const waiting = [...cluster.waiting];
+    this.someStarved = waiting.some((job) => isStarved(job, now));
+    return waiting
+      .filter((job) => job.retryAt === null || now >= job.retryAt)
+      .map((job) => ({ job, rank: this.rankNow(job, now), isGuaranteed: this.guaranteed.has(job) }))
+      .sort(compareEntries)
+      .map(({ job }) => job);
+  }
+
+  /** Whether the job fits into its team's guarantee together with the team's earlier unfinished jobs. */
+  isGuaranteed(job: Job): boolean {
+    return this.guaranteed.has(job);
+  }
+
+  /** Started now it can just be done by its deadline: waiting behind what has no deadline would be for nothing. */
+  isUrgent(job: Job, now: Instant): boolean {
+    const { due, spec } = job;
+    if (due === null || this.someStarved || now >= due) return false;
+    return plus(now, timeFor(spec)) >= due;
+  }
+
+  private rankNow(job: Job, now: Instant): number {
+    const isLongWaiting = !hasStarted(job) && passed(now, job.seen, LONG_WAIT);
+    return job.rank + (isLongWaiting || this.isUrgent(job, now) ? 1 : 0);
+  }
+
+  private updateGuaranteed(): void {
+    const { cluster } = this.scope;
+    if (this.guaranteedAt === cluster.jobChanges) return;
+    this.guaranteedAt = cluster.jobChanges;
+    this.guaranteed = this.guaranteedJobs();
+  }
+
+  private guaranteedJobs(): Set<Job> {
+    const { cluster, options } = this.scope;
+    const guaranteed = new Set<Job>();
+    const usageByTeam = new Map<string, Usage>();
+    const byAge = [...cluster.jobs.values()].sort((a, b) => a.stamp - b.stamp);
+    for (const job of byAge) {
+      const { spec } = job;
+      const team = options.teams.get(spec.team);
+      if (team === undefined || (team.cpus <= 0 && team.gpus <= 0)) continue;
+      const usage = usageByTeam.get(spec.team) ?? { cpus: 0, gpus: 0 };
+      usageByTeam.set(spec.team, usage);
+      if (fitsGuarantee(team, usage, spec, spec.tasks)) guaranteed.add(job);
+      usage.cpus += spec.cpus * spec.tasks;
+      usage.gpus += spec.gpus * spec.tasks;
+    }
+    return guaranteed;
+  }
+}
--- /dev/null
+++ b/src/core/machine-intake.ts
@@ -0,0 +1,97 @@
+/** Takes in what the leader hears of machines from the state service and the cloud. */
+import * as Duration from "effect/Duration";
+import { addMachine, dropMachine, type Machine, newMachine, setMachine } from "./cluster.js";
+import type { MachineRecord } from "./records.js";
+import type { Scope } from "./scope.js";
+import { type Instant, plus } from "./time.js";
+
+/** A machine as the cloud lists it. */
+export interface ListedMachine {
+  readonly id: string;
+  readonly record: MachineRecord;
+  readonly failed: boolean;
+  readonly ageMs: number;
+}
+
+/** Late lists and reports may name machines that are gone; of the oldest nothing comes any more. */
+const MAX_GONE = 5000;
+
+/** The machines: none is taken in again after its release was answered (S3). */
+export class MachineIntake {
+  private readonly gone = new Set<string>();
+
+  constructor(private readonly scope: Scope) {}
+
+  /** A machine record read from the state service, or one just written; null if the machine is gone. */
+  recorded(id: string, record: MachineRecord, now: Instant): Machine | null {
+    if (this.gone.has(id)) return null;
+    const { cluster } = this.scope;
+    const known = cluster.machines.get(id);
+    const machine = known ?? newMachine(id, record, now);
+    if (known === undefined) addMachine(cluster, machine);
+    machine.recording = false;
+    machine.addr ??= record.addr;
+    setMachine(cluster, machine, { recorded: true });
+    if (known === undefined) this.scope.applyType(machine);
+    return machine;
+  }
+
+  /** The write of a machine's record failed: it is decided on again. */
+  recordFailed(id: string): void {
+    const machine = this.scope.cluster.machines.get(id);
+    if (machine !== undefined) machine.recording = false;
+  }
+
+  /**
+   * A machine that was rented, or found in a report or a list. Without a record no leader ever started anything on it
+   * (S5), so it is confirmed; null if it is gone.
+   */
+  discovered(id: string, record: MachineRecord, now: Instant): Machine | null {
+    if (this.gone.has(id)) return null;
+    const { cluster } = this.scope;
+    const known = cluster.machines.get(id);
+    if (known !== undefined) return known;
+    const machine = newMachine(id, record, now);
+    addMachine(cluster, machine);
+    setMachine(cluster, machine, { confirmed: true });
+    this.scope.applyType(machine);
+    return machine;
+  }
+
+  /** The cloud's list of machines. */
+  listed(rows: readonly ListedMachine[], now: Instant): void {
+    for (const row of rows) {
+      const created = plus(now, Duration.millis(-row.ageMs));
+      const machine = this.discovered(row.id, row.record, created);
+      if (machine === null) continue;
+      if (machine.heard === null && created < machine.created) machine.created = created;
+      machine.addr ??= row.record.addr;
+      if (row.failed) machine.failed = true;
+    }
+  }
+
+  /** Whether the machine was still known; it is gone from now on. */
+  released(id: string): boolean {
+    const { cluster } = this.scope;
+    const machine = cluster.machines.get(id);
+    if (machine === undefined) return false;
+    this.gone.add(id);
+    this.forgetOldest();
+    dropMachine(cluster, machine);
+    return true;
+  }
+
+  /** The release was not carried out: it is requested again a while from now. */
+  releaseFailed(id: string, now: Instant): void {
+    const machine = this.scope.cluster.machines.get(id);
+    if (machine !== undefined) machine.releasing = now;
+  }
+
+  private forgetOldest(): void {
+    if (this.gone.size <= MAX_GONE) return;
+    for (const oldest of this.gone) {
+      this.gone.delete(oldest);
+      return;
+    }
+  }
+}
--- a/src/core/outbox.ts
+++ b/src/core/outbox.ts
@@ -8,16 +8,23 @@
   /** What can wait until something else goes to the same machine. */
   readonly asides = new Map<string, Order[]>();
 
+  /** Adds a command for a machine. */
   push(machine: string, order: Order): void {
     add(this.orders, machine, order);
   }
 
+  /** Adds all that was decided on here to `other`, in order. */
+  moveTo(other: Outbox): void {
+    for (const [machine, orders] of this.orders) for (const order of orders) other.push(machine, order);
+  }
+
   /** Goes along with the machine's next orders; `due`: goes even without any. */
   forget(hold: Hold, due: boolean): void {
     const { job, index, attempt } = hold;
     add(due ? this.orders : this.asides, hold.machine, { op: "forget", job, index, attempt, graceS: 0 });
   }
 
+  /** Tells a worker to start an attempt of a task; its hold is there already (S4). */
   start(machine: string, job: string, index: number, attempt: number): void {
     this.push(machine, { op: "start", job, index, attempt, graceS: 0 });
   }
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -6,7 +6,7 @@
 import { type Range, RangeSet, windows } from "./ranges.js";
 import { type Instant, passed, plus } from "./time.js";
 import { keys, type Order, type TermRecord, type WorkerReport } from "./records.js";
-import type { OrderOutcome } from "./scheduler.js";
+import type { OrderOutcome } from "./decisions.js";
 import { answerToken, ownerOf } from "./term.js";
 
 export type BeatAnswer =
--- a/src/core/placer.ts
+++ b/src/core/placer.ts
@@ -1,410 +1,214 @@
-/** Which waiting task starts next, where, and what is stopped for it. */
+/** Which waiting task starts next and where. Limits, zones and unknown holds are checked here (S4, S5, S6). */
 import * as Duration from "effect/Duration";
-import { addHold, type Hold, type Job, type Machine, occupies, rankOf, removeHold } from "./cluster.js";
+import { suspect } from "./attempt-results.js";
+import { type Hold, type Job, type Machine, removeHold } from "./cluster.js";
+import type { JobQueue } from "./job-queue.js";
 import { Outbox } from "./outbox.js";
-import { timeFor } from "./pipelines.js";
-import {
-  allowed,
-  choose,
-  fill,
-  freeRoom,
-  type KnownHold,
-  noEasier,
-  slots,
-  victims,
-  zoned,
-} from "./placement.js";
-import { fitsGuarantee, fitsLimit, roomInLimit, type Usage } from "./quota.js";
-import { type JobSpec, RANK, type Team } from "./records.js";
+import { allowed, choose, fill, freeRoom, slots, zoned } from "./placement.js";
+import { PlacementRound } from "./placement-round.js";
+import { Preemption } from "./preemption.js";
+import { fitsLimit, roomInLimit, type Usage } from "./quota.js";
+import type { Team } from "./records.js";
 import type { Scope } from "./scope.js";
+import { TaskStarter } from "./task-starter.js";
 import { stopGang } from "./tidy.js";
-import { type Instant, passed, plus } from "./time.js";
+import { type Instant, passed } from "./time.js";
 
-const MAX_STARTS_PER_STEP = 400;
-const HOPELESS_AFTER = 3;
+/** Smaller jobs would take all room that gets free: after this long a gang holds up those of its rank and below. */
 const GANG_PATIENCE = Duration.seconds(15);
-/** A job that waited this long without a single start goes before others of its kind and above. */
-const LONG_WAIT = Duration.seconds(100);
-const HELD_UP = Duration.seconds(40);
-/** Without news, what didn't fit is tried again this often: machines' reports grow old, errors are forgiven. */
+/** When nothing changed, what didn't fit is tried again this often: reports grow old, errors are forgiven. */
 const TRY_AGAIN = Duration.millis(500);
-const CHEAP_LOSS = Duration.seconds(6);
-/** Machines on which something was started lately, where stopping costs the least. */
-const LATELY = 64;
-const MAX_REMEMBERED = 512;
-
-/** A job that failed on several machines and completed nowhere. */
-export const suspect = (job: Job): boolean => job.errorsOn.size >= HOPELESS_AFTER && job.done.size === 0;
-
-/** Whether stopping a task throws away more than a moment's work. */
-const losesWork = (hold: Hold, now: Instant): boolean =>
-  Duration.toMillis(hold.spec!.checkpoint) === 0 &&
-  hold.state === "running" &&
-  passed(now, hold.since, CHEAP_LOSS);
 
+/** Places waiting tasks; a step looks at each waiting job, and at machines with room alone. */
 export class Placer {
-  private attempts = 0;
-  private guaranteed: ReadonlySet<Job> = new Set();
-  private guaranteedAt = -1;
-  /** Some job of a higher rank than the lowest waits for its first start for long: nobody below may hurry past it. */
-  private heldUp = false;
-  /** Room that is being made by stopping others, by job, so that no more is stopped than needed. */
-  private makingRoom = new Map<string, Instant>();
-  private searchedAll: Instant | null = null;
-  private tried = { chances: -1, at: null as Instant | null };
+  private readonly starter: TaskStarter;
+  private readonly preemption: Preemption;
+  /** `Cluster.chances` at the last attempt, and when that was. */
+  private triedChances = -1;
+  private triedAt: Instant | null = null;
 
-  constructor(private readonly scope: Scope) {}
+  constructor(
+    private readonly scope: Scope,
+    private readonly queue: JobQueue,
+  ) {
+    this.starter = new TaskStarter(scope);
+    this.preemption = new Preemption(scope, queue);
+  }
 
+  /** The job has its commit. */
   jobOver(id: string): void {
-    this.makingRoom.delete(id);
+    this.preemption.jobOver(id);
   }
 
-  /** Waiting jobs, the most important first. */
-  queue(now: Instant): Job[] {
-    const { cluster } = this.scope;
-    if (this.guaranteedAt !== cluster.jobChanges) {
-      this.guaranteedAt = cluster.jobChanges;
-      this.guaranteed = this.guaranteedJobs();
+  /** Starts what fits, and makes room for what doesn't. */
+  step(now: Instant, outbox: Outbox, notes: string[]): void {
+    if (!this.isWorthTrying(now)) return;
+    const queue = this.queue.sorted(now);
+    const round = this.newRound(queue, now, outbox, notes);
+    for (const job of queue) {
+      if (round.startsLeft <= 0) break;
+      if (job.rank <= round.gangRank && !this.queue.isGuaranteed(job)) continue;
+      const team = this.scope.options.teams.get(job.spec.team);
+      if (team === undefined || this.isBlocked(job)) continue;
+      if (job.spec.kind === "gang") this.placeGangOrWait(job, team, round);
+      else this.placeOrMakeRoom(job, team, round);
     }
-    const waiting = [...cluster.waiting];
-    this.heldUp = waiting.some(
-      (j) => j.rank > RANK.low && j.holds.size + j.done.size === 0 && passed(now, j.seen, HELD_UP),
-    );
-    const rank = (j: Job): number => j.rank + (this.longWaiting(j, now) || this.hurries(j, now) ? 1 : 0);
-    const first = (j: Job): number => (this.guaranteed.has(j) ? 1 : 0);
-    return waiting
-      .filter((j) => j.retryAt === null || now >= j.retryAt)
-      .map((j) => ({ j, rank: rank(j), first: first(j) }))
-      .sort((a, b) => b.rank - a.rank || b.first - a.first || a.j.stamp - b.j.stamp)
-      .map(({ j }) => j);
   }
 
-  private longWaiting(job: Job, now: Instant): boolean {
-    return job.done.size === 0 && job.holds.size === 0 && passed(now, job.seen, LONG_WAIT);
-  }
-
-  /** Started now it can just be done by its deadline: waiting behind what has no deadline would be for nothing. */
-  private hurries(job: Job, now: Instant): boolean {
-    const { due, spec } = job;
-    return due !== null && !this.heldUp && now < due && plus(now, timeFor(spec)) >= due;
-  }
-
-  /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
-  private guaranteedJobs(): Set<Job> {
-    const { cluster, options } = this.scope;
-    const out = new Set<Job>();
-    const used = new Map<string, Usage>();
-    for (const job of [...cluster.jobs.values()].sort((a, b) => a.stamp - b.stamp)) {
-      const { spec } = job;
-      const team = options.teams.get(spec.team);
-      if (team === undefined || (team.cpus <= 0 && team.gpus <= 0)) continue;
-      const usage = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
-      used.set(spec.team, usage);
-      if (fitsGuarantee(team, usage, spec, spec.tasks)) out.add(job);
-      usage.cpus += spec.cpus * spec.tasks;
-      usage.gpus += spec.gpus * spec.tasks;
-    }
-    return out;
+  private isWorthTrying(now: Instant): boolean {
+    const { cluster } = this.scope;
+    if (cluster.waiting.size === 0) return false;
+    const isUnchanged = this.triedChances === cluster.chances;
+    if (isUnchanged && this.triedAt !== null && !passed(now, this.triedAt, TRY_AGAIN)) return false;
+    this.triedChances = cluster.chances;
+    this.triedAt = now;
+    return true;
   }
 
-  /** Whether an unseen machine may hold a task of this job. */
-  private mayHold(m: Machine, job: Job): boolean {
-    return job.stamp <= this.scope.since && allowed(job.spec, m);
+  private newRound(queue: readonly Job[], now: Instant, outbox: Outbox, notes: string[]): PlacementRound {
+    const round = new PlacementRound(now, outbox, notes, this.unseen());
+    const leastCpus = queue.reduce((least, job) => Math.min(least, job.spec.cpus), Infinity);
+    for (const machine of this.scope.cluster.free.atLeast(leastCpus))
+      if (this.scope.isReady(machine, now)) round.addCandidate(machine);
+    return round;
   }
 
-  /** What machines could hold that haven't reported under this term, or that have tasks of unknown size. */
+  /** What machines could hold that haven't reported under this term, or that have tasks of unknown size (S6). */
   private unseen(): Usage {
     const { cluster } = this.scope;
-    const sum = { cpus: 0, gpus: 0 };
-    const add = (m: Machine): void => {
-      sum.cpus += m.cpus;
-      sum.gpus += m.gpus;
-    };
-    for (const m of cluster.unconfirmed) add(m);
-    for (const m of cluster.strayOn.keys()) if (m.recorded && m.confirmed) add(m);
-    return sum;
-  }
-
-  step(now: Instant, outbox: Outbox, notes: string[]): void {
-    const { cluster, options } = this.scope;
-    if (cluster.waiting.size === 0) return;
-    const { tried } = this;
-    if (tried.chances === cluster.chances && tried.at !== null && !passed(now, tried.at, TRY_AGAIN)) return;
-    this.tried = { chances: cluster.chances, at: now };
-    const candidates: Machine[] = [];
-    const parts = new Map<string | null, number>();
-    const queue = this.queue(now);
-    const least = queue.reduce((min, j) => Math.min(min, j.spec.cpus), Infinity);
-    for (const m of cluster.free.atLeast(least))
-      if (this.ready(m, now)) {
-        candidates.push(m);
-        parts.set(m.via, (parts.get(m.via) ?? 0) + m.cpus - m.used.cpus);
-      }
-    const partRoom = (via: string | null): number => parts.get(via) ?? 0;
-    const unseen = this.unseen();
-    const worst = (team: string): Usage => {
-      const seen = this.scope.usageOf(team);
-      return { cpus: seen.cpus + unseen.cpus, gpus: seen.gpus + unseen.gpus };
-    };
-    const failed: JobSpec[] = [];
-    const nothingToStop: Job[] = [];
-    let budget = MAX_STARTS_PER_STEP;
-    let heldBack = -1;
-    for (const job of queue) {
-      if (budget <= 0) break;
-      if (job.rank <= heldBack && !this.guaranteed.has(job)) continue;
-      const { spec } = job;
-      const team = options.teams.get(spec.team);
-      if (team === undefined || this.isBlocked(job)) continue;
-      if (spec.kind === "gang") {
-        const placed = this.placeGang(job, team, candidates, worst(spec.team), now, outbox, partRoom);
-        budget -= placed;
-        // smaller jobs would take every place that gets free: after a while they are held back for the gang
-        if (placed === 0 && passed(now, job.seen, GANG_PATIENCE) && this.couldHold(job, now))
-          heldBack = job.rank;
-        continue;
-      }
-      // a job that fails everywhere is tried one task at a time
-      let left = Math.min(
-        job.pending.size,
-        budget,
-        roomInLimit(team, worst(spec.team), spec),
-        suspect(job) ? 1 : Infinity,
-      );
-      if (left <= 0) continue;
-      if (!failed.some((f) => noEasier(spec, f))) {
-        const placed = this.placeTasks(job, left, candidates, partRoom, parts, now, outbox, notes);
-        budget -= placed;
-        left -= placed;
-      }
-      if (left <= 0) continue;
-      if (job.errorsOn.size + job.refusedOn.size === 0 && !zoned(spec)) failed.push(spec);
-      // with hundreds of jobs waiting, what can't be had for one isn't looked for again for its like in the same step
-      const plain = !this.guaranteed.has(job) && !zoned(spec);
-      if (plain && nothingToStop.some((f) => f.rank >= job.rank && noEasier(spec, f.spec))) continue;
-      if (!this.makeRoom(job, now, outbox, notes) && plain) nothingToStop.push(job);
+    const unseen = { cpus: 0, gpus: 0 };
+    for (const machine of cluster.unconfirmed) {
+      unseen.cpus += machine.cpus;
+      unseen.gpus += machine.gpus;
     }
+    for (const machine of cluster.strayOn.keys()) {
+      if (!machine.recorded || !machine.confirmed) continue;
+      unseen.cpus += machine.cpus;
+      unseen.gpus += machine.gpus;
+    }
+    return unseen;
   }
 
-  private ready(m: Machine, now: Instant): boolean {
-    return this.scope.usable(m, now) && !m.inFlight && !this.scope.cluster.strayOn.has(m);
-  }
-
+  /** Whether a machine that has not reported under this term may hold tasks of the job (S5). */
   private isBlocked(job: Job): boolean {
     if (job.stamp > this.scope.since) return false;
-    for (const m of this.scope.cluster.unconfirmed) if (this.mayHold(m, job)) return true;
+    for (const machine of this.scope.cluster.unconfirmed) if (allowed(job.spec, machine)) return true;
     return false;
   }
 
-  /** Starts up to `tasks` of an array's or a service's tasks; says how many. */
-  private placeTasks(
-    job: Job,
-    tasks: number,
-    candidates: readonly Machine[],
-    partRoom: (via: string | null) => number,
-    parts: Map<string | null, number>,
-    now: Instant,
-    outbox: Outbox,
-    notes: string[],
-  ): number {
+  private placeOrMakeRoom(job: Job, team: Team, round: PlacementRound): void {
     const { spec } = job;
-    const { cluster } = this.scope;
-    const begin = (index: number, m: Machine): void => {
-      parts.set(m.via, partRoom(m.via) - spec.cpus);
-      this.start(job, index, ++this.attempts, m, now, outbox);
-    };
-    if (spec.kind === "array" && !zoned(spec)) {
-      let placed = 0;
-      for (const row of fill(cluster, job, candidates, now, partRoom, tasks))
-        for (const index of job.pending.take(row.tasks)) {
-          begin(index, row.machine);
-          placed++;
-        }
-      return placed;
+    const used = round.mostUsed(this.scope.usageOf(spec.team));
+    // a job that fails everywhere is tried one task at a time
+    const most = suspect(job) ? 1 : Infinity;
+    let left = Math.min(job.pending.size, round.startsLeft, roomInLimit(team, used, spec), most);
+    if (left <= 0) return;
+    if (!round.isHopeless(spec)) {
+      const placed = this.placeTasks(job, left, round);
+      round.startsLeft -= placed;
+      left -= placed;
     }
+    if (left <= 0) return;
+    const isZoned = zoned(spec);
+    if (job.errorsOn.size + job.refusedOn.size === 0 && !isZoned) round.foundNoRoom(spec);
+    // with hundreds of jobs waiting, a search in vain for one isn't repeated for similar ones in the same step
+    const isPlain = !this.queue.isGuaranteed(job) && !isZoned;
+    if (isPlain && round.isNothingToStop(job)) return;
+    if (!this.preemption.makeRoom(job, round) && isPlain) round.foundNothingToStop(job);
+  }
+
+  /** Starts up to `tasks` of an array's or a service's tasks; says how many were started or have room made for them. */
+  private placeTasks(job: Job, tasks: number, round: PlacementRound): number {
+    if (job.spec.kind === "array" && !zoned(job.spec)) return this.fillMachines(job, tasks, round);
+    const { cluster } = this.scope;
     let placed = 0;
     for (const index of job.pending.take(tasks)) {
-      const m = choose(cluster, job, candidates, now, partRoom);
-      if (m === null) break;
-      if (this.fetchTooLong(job, m) && this.makeRoomWhereCached(job, now, outbox, notes)) return tasks;
-      begin(index, m);
+      const machine = choose(cluster, job, round.candidates, round.now, round.partRoom);
+      if (machine === null) break;
+      if (this.fetchTooLong(job, machine) && this.preemption.makeRoomWhereCached(job, round)) return tasks;
+      this.startTask(job, index, machine, round);
       placed++;
     }
     return placed;
   }
 
-  /** Whether the machines there are could hold a whole gang if they were empty. */
-  private couldHold(job: Job, now: Instant): boolean {
-    const zones = new Map<string, number>();
-    for (const m of this.scope.cluster.hearing) {
-      if (!this.scope.usable(m, now) || !allowed(job.spec, m)) continue;
-      const zone = job.spec.oneZone ? m.zone : "";
-      zones.set(zone, (zones.get(zone) ?? 0) + slots(job.spec, m));
-    }
-    return [...zones.values()].some((n) => n >= job.spec.tasks);
-  }
-
-  private start(job: Job, index: number, n: number, m: Machine, now: Instant, outbox: Outbox): void {
-    const { cluster, term } = this.scope;
-    // unique for ever: a token belongs to one leader, which counts its starts
-    const attempt = term.token * 1_000_000 + n;
-    const hold: Hold = {
-      job: job.spec.id,
-      index,
-      attempt,
-      machine: m.id,
-      spec: job.spec,
-      state: "ordered",
-      why: null,
-      since: now,
-      began: null,
-      doubt: null,
-      answered: null,
-      stopping: false,
-      stored: false,
-    };
-    addHold(cluster, hold);
-    if (job.spec.kind !== "gang") cluster.started.push(hold);
-    if (cluster.started.length > MAX_REMEMBERED) cluster.started.splice(0, MAX_REMEMBERED / 2);
-    outbox.start(m.id, job.spec.id, index, attempt);
+  private fillMachines(job: Job, tasks: number, round: PlacementRound): number {
+    let placed = 0;
+    for (const row of fill(this.scope.cluster, job, round.candidates, round.now, round.partRoom, tasks))
+      for (const index of job.pending.take(row.tasks)) {
+        this.startTask(job, index, row.machine, round);
+        placed++;
+      }
+    return placed;
   }
 
-  /** All tasks at once or none; a broken gang is taken down whole before its next attempt. */
-  private placeGang(
-    job: Job,
-    team: Team,
-    candidates: readonly Machine[],
-    worst: Usage,
-    now: Instant,
-    outbox: Outbox,
-    partRoom: (via: string | null) => number,
-  ): number {
-    const { spec } = job;
-    const { cluster } = this.scope;
-    if (stopGang([...job.holds.values()].flat(), outbox) > 0) return 0;
-    if (job.pending.size < spec.tasks) return 0;
-    if (!fitsLimit(team, worst, spec, spec.tasks)) return 0;
-    const zones = spec.oneZone ? [...new Set(candidates.map((m) => m.zone))] : [null];
-    for (const zone of zones) {
-      const inZone = candidates.filter((m) => zone === null || m.zone === zone);
-      const total = inZone.reduce((sum, m) => sum + (allowed(spec, m) ? slots(spec, freeRoom(m)) : 0), 0);
-      if (total < spec.tasks) continue;
-      const n = ++this.attempts;
-      const trial = new Outbox();
-      const placed: Hold[] = [];
-      for (const index of job.pending.take(spec.tasks)) {
-        const m = choose(cluster, job, inZone, now, partRoom);
-        if (m === null) break;
-        this.start(job, index, n, m, now, trial);
-        placed.push(job.holds.get(index)!.at(-1)!);
-      }
-      if (placed.length === spec.tasks) {
-        for (const [machine, list] of trial.orders) for (const order of list) outbox.push(machine, order);
-        return spec.tasks;
-      }
-      for (const hold of placed) removeHold(cluster, hold);
-    }
-    return 0;
+  private startTask(job: Job, index: number, machine: Machine, round: PlacementRound): void {
+    round.takeFromPart(machine.via, job.spec.cpus);
+    this.starter.start(job, index, this.starter.nextAttempt(), machine, round.now, round.outbox);
   }
 
   /** Free room is no use to a job whose image takes longer to fetch than its start may take. */
-  private fetchTooLong(job: Job, m: Machine): boolean {
+  private fetchTooLong(job: Job, machine: Machine): boolean {
     const goal = this.scope.options.startGoals.get(job.spec.className);
-    const type = this.scope.typeByName.get(m.type);
-    if (goal === undefined || type === undefined || m.images.has(job.spec.image)) return false;
+    const type = this.scope.typeByName.get(machine.type);
+    if (goal === undefined || type === undefined || machine.images.has(job.spec.image)) return false;
     return job.spec.imageGb / type.fetchGbPerS > Duration.toSeconds(goal);
   }
 
-  private makeRoomWhereCached(job: Job, now: Instant, outbox: Outbox, notes: string[]): boolean {
-    const until = this.makingRoom.get(job.spec.id);
-    if (until !== undefined) return now < until;
-    const cached = this.lately().filter((m) => this.ready(m, now) && m.images.has(job.spec.image));
-    return this.stopFor(job, cached, now, outbox, notes);
+  private placeGangOrWait(job: Job, team: Team, round: PlacementRound): void {
+    const isPlaced = this.placeGang(job, team, round);
+    if (isPlaced) round.startsLeft -= job.spec.tasks;
+    else if (passed(round.now, job.seen, GANG_PATIENCE) && this.couldHold(job, round.now))
+      round.gangRank = job.rank;
   }
 
-  /** Machines on which something was started lately. */
-  private lately(): Machine[] {
-    const out = new Set<Machine>();
-    const { started, machines } = this.scope.cluster;
-    for (let i = started.length - 1; i >= 0 && out.size < LATELY; i--) {
-      const m = machines.get(started[i]!.machine);
-      if (m !== undefined && occupies(started[i]!)) out.add(m);
+  /** All tasks at once or none; a broken gang is taken down whole before its next attempt. */
+  private placeGang(job: Job, team: Team, round: PlacementRound): boolean {
+    const { spec } = job;
+    if (stopGang([...job.holds.values()].flat(), round.outbox) > 0) return false;
+    if (job.pending.size < spec.tasks) return false;
+    const used = round.mostUsed(this.scope.usageOf(spec.team));
+    if (!fitsLimit(team, used, spec, spec.tasks)) return false;
+    if (!spec.oneZone) return this.placeGangOn(job, round.candidates, round);
+    const zones = new Set(round.candidates.map((machine) => machine.zone));
+    for (const zone of zones) {
+      const inZone = round.candidates.filter((machine) => machine.zone === zone);
+      if (this.placeGangOn(job, inZone, round)) return true;
     }
-    return [...out];
-  }
-
-  /**
-   * Stops others for one task of a job, where anything may be stopped for it at all; false: nothing was found. A search
-   * costs far more than a look at a waiting job, so each job's come half a second apart at least.
-   */
-  private makeRoom(job: Job, now: Instant, outbox: Outbox, notes: string[]): boolean {
-    const until = this.makingRoom.get(job.spec.id);
-    if (until !== undefined && now < until) return true;
-    const { cluster } = this.scope;
-    const { rank } = job;
-    const lower = cluster.ranks.some((n, r) => r < rank && n > 0);
-    const borrowed = this.guaranteed.has(job) && this.someoneBorrows(job.spec.team);
-    if (!lower && !borrowed) return false;
-    if (
-      this.stopFor(
-        job,
-        this.lately().filter((m) => this.ready(m, now)),
-        now,
-        outbox,
-        notes,
-      )
-    )
-      return true;
-    this.makingRoom.set(job.spec.id, plus(now, TRY_AGAIN));
-    // nothing young will do: now and then all machines are looked through
-    if (this.searchedAll !== null && !passed(now, this.searchedAll, TRY_AGAIN)) return false;
-    this.searchedAll = now;
-    const all = [...cluster.hearing].filter((m) => this.ready(m, now));
-    if (this.stopFor(job, all, now, outbox, notes)) return true;
-    this.makingRoom.set(job.spec.id, plus(now, Duration.times(TRY_AGAIN, 2)));
     return false;
   }
 
-  private someoneBorrows(but: string): boolean {
-    for (const [name, team] of this.scope.options.teams) {
-      const usage = this.scope.usageOf(name);
-      if (name !== but && (usage.cpus > team.cpus || usage.gpus > team.gpus)) return true;
+  /** Tries to place a whole gang on the given machines; leaves nothing behind if it doesn't fit. */
+  private placeGangOn(job: Job, candidates: readonly Machine[], round: PlacementRound): boolean {
+    const { spec } = job;
+    let total = 0;
+    for (const machine of candidates) if (allowed(spec, machine)) total += slots(spec, freeRoom(machine));
+    if (total < spec.tasks) return false;
+    const attempt = this.starter.nextAttempt();
+    const trial = new Outbox();
+    const placed: Hold[] = [];
+    for (const index of job.pending.take(spec.tasks)) {
+      const machine = choose(this.scope.cluster, job, candidates, round.now, round.partRoom);
+      if (machine === null) break;
+      placed.push(this.starter.start(job, index, attempt, machine, round.now, trial));
     }
+    if (placed.length === spec.tasks) {
+      trial.moveTo(round.outbox);
+      return true;
+    }
+    for (const hold of placed) removeHold(this.scope.cluster, hold);
     return false;
   }
 
-  private stopFor(
-    job: Job,
-    candidates: readonly Machine[],
-    now: Instant,
-    outbox: Outbox,
-    notes: string[],
-  ): boolean {
-    const { rank } = job;
-    const guaranteed = this.guaranteed.has(job);
-    const mayStop = (hold: KnownHold): boolean => {
-      const { spec } = hold;
-      if (spec.kind === "gang") return false;
-      const owner = this.scope.cluster.jobs.get(hold.job);
-      if (rank < RANK.production && owner !== undefined && this.hurries(owner, now)) return false;
-      // below production, room made a little sooner isn't worth work that has run for a while
-      if (rankOf(this.scope.cluster, hold) < rank && (rank === RANK.production || !losesWork(hold, now)))
-        return true;
-      if (!guaranteed || spec.team === job.spec.team || spec.kind === "service") return false;
-      const other = this.scope.options.teams.get(spec.team);
-      const usage = this.scope.usageOf(spec.team);
-      // only what the other team runs beyond its own guarantee
-      return (
-        other !== undefined && usage.cpus - spec.cpus >= other.cpus && usage.gpus - spec.gpus >= other.gpus
-      );
-    };
-    const found = victims(this.scope.cluster, job, candidates, now, mayStop);
-    if (found === null) return false;
-    for (const hold of found.holds) outbox.stop(hold);
-    this.makingRoom.set(job.spec.id, plus(now, Duration.millis(300)));
-    notes.push(
-      `stop ${found.holds.map((h) => `${h.job}/${h.index}`).join(" ")} on ${found.machine.id} for ${job.spec.id}`,
-    );
-    return true;
+  /** Whether the machines there are could hold a whole gang if they were empty. */
+  private couldHold(job: Job, now: Instant): boolean {
+    const { spec } = job;
+    const slotsByZone = new Map<string, number>();
+    for (const machine of this.scope.cluster.hearing) {
+      if (!this.scope.usable(machine, now) || !allowed(spec, machine)) continue;
+      const zone = spec.oneZone ? machine.zone : "";
+      slotsByZone.set(zone, (slotsByZone.get(zone) ?? 0) + slots(spec, machine));
+    }
+    return [...slotsByZone.values()].some((free) => free >= spec.tasks);
   }
 }
--- a/src/core/scope.ts
+++ b/src/core/scope.ts
@@ -51,6 +51,11 @@
   readonly usable = (m: Machine, now: Instant): boolean =>
     usable(m, now, this.fresh) && !this.unrenewed(m, now);
 
+  /** Whether tasks may be started on it now: no batch is on its way, and nothing of unknown size is on it (S6). */
+  isReady(machine: Machine, now: Instant): boolean {
+    return this.usable(machine, now) && !machine.inFlight && !this.cluster.strayOn.has(machine);
+  }
+
   /** It answers direct questions, but its reports reach nobody: its lease runs out, with all that is on it. */
   unrenewed(m: Machine, now: Instant): boolean {
     const span = Duration.sum(this.fresh, this.options.spans.reportEvery);
--- /dev/null
+++ b/src/core/summary.ts
@@ -0,0 +1,74 @@
+/** Figures for the operators' log: what there is, what is in use, what waits. */
+import type { Cluster, Machine } from "./cluster.js";
+import type { Scope } from "./scope.js";
+import type { Instant } from "./time.js";
+
+/** Processors of a machine's tasks by what they do; tasks of unknown size are left out. */
+const cpusByState = (machine: Machine): { starting: number; replicas: number } => {
+  let starting = 0;
+  let replicas = 0;
+  for (const { spec, state } of machine.holds.values()) {
+    if (spec === null) continue;
+    if (state === "ordered" || state === "fetching") starting += spec.cpus;
+    else if (state === "running" && spec.kind === "service") replicas += spec.cpus;
+  }
+  return { starting, replicas };
+};
+
+const waitingCpus = (cluster: Cluster): number => {
+  let cpus = 0;
+  for (const job of cluster.waiting) cpus += job.pending.size * job.spec.cpus;
+  return cpus;
+};
+
+const machineFigures = (scope: Scope, now: Instant) => {
+  const figures = {
+    ready: 0,
+    booting: 0,
+    spot: 0,
+    cpus: 0,
+    used: 0,
+    // of these: starts that wait for their image, and replicas; then what is paid for and takes no work
+    fetching: 0,
+    replicas: 0,
+    bootingCpus: 0,
+    aside: 0,
+  };
+  for (const machine of scope.cluster.machines.values()) {
+    if (machine.heard === null) {
+      figures.booting++;
+      figures.bootingCpus += machine.cpus;
+      continue;
+    }
+    const { starting, replicas } = cpusByState(machine);
+    figures.fetching += starting;
+    figures.replicas += replicas;
+    if (!scope.usable(machine, now)) {
+      figures.aside += machine.cpus;
+      continue;
+    }
+    figures.ready++;
+    figures.cpus += machine.cpus;
+    figures.used += machine.used.cpus;
+    if (machine.spot) figures.spot++;
+  }
+  return figures;
+};
+
+/** The figures of one line, by name. Looks at all machines, so it is not for every step. */
+export const summaryOf = (scope: Scope, now: Instant): Record<string, number> => {
+  const { cluster } = scope;
+  const { ready, booting, spot, ...cpus } = machineFigures(scope, now);
+  return {
+    machines: cluster.machines.size,
+    ready,
+    booting,
+    unconfirmed: cluster.unconfirmed.size,
+    mute: cluster.mute.size,
+    doubts: cluster.doubts.size,
+    spot,
+    ...cpus,
+    waiting: waitingCpus(cluster),
+    jobs: cluster.jobs.size,
+  };
+};
--- a/src/core/term.ts
+++ b/src/core/term.ts
@@ -99,6 +99,8 @@
 const STEPS = 1_000_000;
 export const tokenOf = (term: number, step = 0): number => term * STEPS + step;
 export const termOf = (token: number): number => Math.floor(token / STEPS);
+/** The number of a leader's n-th start under a term: unique for ever, since a token belongs to one leader (S4). */
+export const attemptOf = (term: number, start: number): number => term * STEPS + start;
 /** What a member answers a worker with: its term's token, or the higher one that the worker has from the leader. */
 export const answerToken = (term: number, seen: number): number =>
   termOf(seen) === term ? seen : tokenOf(term);
