--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,7 +11,7 @@
   {
     files: ["src/core/**/*.ts"],
     rules: {
-      "max-lines": ["error", 353],
+      "max-lines": ["error", 364],
       "max-lines-per-function": ["error", 73],
       complexity: ["error", 38],
     },
