--- a/test/model-pipelines.ts
+++ b/test/model-pipelines.ts
@@ -5,6 +5,7 @@
  */
 import { faninStep, type ParentState, Waiters } from "../src/core/fanin.js";
 import type { JobSpec, Outcome } from "../src/core/records.js";
+import { CloseLooks, UnansweredQuestions } from "./model/users-questions.js";
 
 export interface Row {
   readonly spec: JobSpec;
@@ -111,7 +112,11 @@
   commit(id: string, outcome: Outcome): void;
   count(what: string): void;
   broke(rule: string, text: string): void;
-  without(guard: "release" | "ancestors" | "unheard" | "overtaken" | "before" | "join" | "filling"): boolean;
+  /** Since when there are no more troubles. */
+  calmSince(): number | null;
+  without(
+    guard: "checked" | "release" | "ancestors" | "unheard" | "overtaken" | "before" | "join" | "filling",
+  ): boolean;
 }
 
 type Standing =
@@ -142,8 +147,20 @@
   /** The final answers, and when the first of them came. */
   private readonly answers = new Map<string, { outcome: Outcome; at: number }>();
   private nextAsk = 0;
-
-  constructor(private readonly host: Host<N>) {}
+  readonly closeLooks: CloseLooks<N>;
+  private readonly questions = new UnansweredQuestions();
+
+  constructor(private readonly host: Host<N>) {
+    this.closeLooks = new CloseLooks<N>({
+      nodes: host.nodes,
+      draw: () => host.draw(),
+      after: (ms, run) => host.after(ms, run),
+      ask: (node, id) => host.on(node, () => node.alive && this.ask(node, id))(),
+      repeatAt: (node, id) => this.sendTo(node, this.sent.get(id)!),
+      cancel: (id) => this.cancel(id),
+      count: (what) => host.count(what),
+    });
+  }
 
   snapshot(revision: number): Snapshot {
     const { waiting, fanins } = this;
@@ -168,7 +185,9 @@
     return spec.awaits.every((p) => !this.sent.has(p) || this.accepted.has(p));
   }
   private sendOnce(spec: JobSpec): void {
-    const node = this.anyNode();
+    this.sendTo(this.anyNode(), spec);
+  }
+  private sendTo(node: N, spec: JobSpec): void {
     this.host.after(
       this.host.delay(),
       this.host.on(node, () => {
@@ -199,9 +218,12 @@
       if (this.answers.has(id) && host.draw() > 0.1) continue;
       const node = this.anyNode();
       host.after(host.draw() * ASK_EVERY_MS, () => {
+        this.questions.asked(id, host.now());
         host.on(node, () => node.alive && this.ask(node, id))();
       });
     }
+    for (const id of this.questions.forgotten(host.now(), host.calmSince()))
+      host.broke("forgotten", `${id}: no question answered, at ${host.now()}`);
   }
 
   isAccepted(id: string): boolean {
@@ -220,7 +242,10 @@
     const before = this.answers.get(id);
     if (before !== undefined && before.outcome !== outcome)
       host.broke("went_back", `${id}: ${before.outcome}, then ${outcome} at ${host.now()}`);
-    if (before === undefined) this.answers.set(id, { outcome, at: host.now() });
+    if (before === undefined) {
+      this.answers.set(id, { outcome, at: host.now() });
+      if (this.sent.has(id)) this.closeLooks.told(id, outcome);
+    }
     if (outcome === "cancelled" && !this.calledOff.has(id) && !this.isDoomed(id))
       host.broke("went_back", `${id}: cancelled by nobody at ${host.now()}`);
     if (this.sent.has(id)) this.isKnown(id);
@@ -238,12 +263,17 @@
     this.isKnown(id);
   }
   private isKnown(id: string): void {
-    if (!this.accepted.has(id)) this.accepted.set(id, this.host.now());
+    if (this.accepted.has(id)) return;
+    this.accepted.set(id, this.host.now());
+    if (!this.answers.has(id)) this.closeLooks.told(id, "accepted");
   }
   private told(id: string, standing: Standing | null, asked: number): void {
     const { host } = this;
     // nobody waits for it any more
     if (standing === null || host.now() > asked + PATIENCE_MS) return;
+    if (standing.kind !== "absent" && !this.sent.has(id) && !host.commits.has(id) && !host.jobs.has(id))
+      host.broke("invented", `${id}: nobody submitted it, at ${host.now()}`);
+    this.questions.answeredNow(id, host.now());
     if (standing.kind === "final") this.toldOver(id, standing.outcome);
     else if (standing.kind === "open") this.toldOpen(id, asked);
     else if ((this.accepted.get(id) ?? Infinity) < asked)
@@ -292,6 +322,17 @@
 
   // --- answers (status) ---------------------------------------------------------------------------------
 
+  /** A user asks this node about a job, and sends the job to it once more. */
+  askAndRepeat(node: N, id: string): void {
+    this.host.on(node, () => node.alive && this.ask(node, id))();
+    this.host.count("submissions repeated");
+    this.sendTo(node, this.sent.get(id)!);
+  }
+  /** Users ask all nodes about a job that nobody has sent. */
+  askAboutNothing(id: string): void {
+    for (const node of this.host.nodes) this.host.on(node, () => node.alive && this.ask(node, id))();
+  }
+
   /** A user asks about a job. */
   private ask(node: N, id: string): void {
     const asked = this.host.now();
@@ -315,7 +356,8 @@
       node,
       () => ({
         exists:
-          ids.some((x) => host.commits.has(x)) || (!known && (host.jobs.has(id) || this.waiting.has(id))),
+          (!host.without("checked") && ids.some((x) => host.commits.has(x))) ||
+          (!known && (host.jobs.has(id) || this.waiting.has(id))),
       }),
       (answer) => {
         if (answer === null) return then(null);
@@ -523,6 +565,7 @@
     stale: boolean,
     then: (parents: Standing[] | null) => void,
   ): void {
+    if (awaits.length === 0) return then([]);
     const { view } = node;
     const found = new Map<string, Standing | null>();
     const set = (id: string, standing: Standing | null): void => {
--- a/test/model.ts
+++ b/test/model.ts
@@ -39,6 +39,10 @@
   | "adopt"
   /** Finishes are written to the same key again after a write without an answer. */
   | "key"
+  /** A machine counts as recorded before its record is written. */
+  | "record"
+  /** Answers about unfinished jobs rest on what the process has heard, not on the commits in the state service. */
+  | "checked"
   /** Late transactions don't ask whether the job is over. */
   | "absent"
   /** Late copies of reports are taken for new ones: those of this session, and those of earlier ones. */
@@ -65,6 +69,7 @@
 const TTL = Duration.seconds(3);
 export const SPANS = spansOf({ leaseS: 12, reportS: 1, cancelS: 30 }, TTL);
 const STEP = 50;
+const QUICK_BOOT_MS = 2000;
 
 export const TYPES: MachineType[] = [["small", 8, 16] as const, ["large", 16, 64] as const].map(
   ([name, cpus, memoryGb]) => ({
@@ -174,6 +179,13 @@
   readonly met = new Map<string, number>();
   /** Share of transactions that get no answer and are carried out 2 to 12 s later, after newer ones. */
   lateWrites = 0;
+  /** Share of transactions that are carried out at once and whose answer is lost. */
+  lostAnswers = 0;
+  /** New machines are up within two seconds. */
+  quickBoots = false;
+  /** Share of direct orders that are carried out 2 to 16 s late, unanswered. */
+  lateOrders = 0;
+  teams: readonly Team[] = TEAMS;
   /** Share of reports of which a copy arrives again, 2 s to 2.5 leases later. */
   lateReports = 0;
   /** Share of direct orders that are held up on their way, or whose answers are. */
@@ -209,9 +221,13 @@
   private nextJob = 0;
   private machines = 0;
   private writes = 0;
-  private calm = false;
+  private calmSince: number | null = null;
+  /** Writes whose answer was lost and that no other node has read yet. */
+  private unread: { readonly writer: string; readonly write: number }[] = [];
   /** Draws for the troubles above, so that runs without them stay the same. */
   private readonly extra: () => number;
+  /** Jobs about which users ask at the end of their last task. */
+  private readonly askedAtEnd = new Set<string>();
   /** How long the tasks of some jobs run. */
   private readonly lasts = new Map<string, readonly number[]>();
   /** Since when a job waits though a machine has room for it. */
@@ -256,6 +272,7 @@
       commit: (id, outcome) => this.commit(id, outcome),
       count: (what) => this.count(what),
       broke: (rule, text) => void this.broken.push({ rule, text }),
+      calmSince: () => this.calmSince,
       without: (guard) => this.without === guard,
     });
   }
@@ -295,10 +312,9 @@
   private addMachine(type: string, zone: string, spot: boolean): string {
     const id = `n-${String(this.machines++).padStart(4, "0")}`;
     const cpus = TYPES.find((t) => t.name === type)!.cpus;
-    this.workers.set(
-      id,
-      new Worker(id, { type, zone, spot, addr: id }, this.now, this.now + 500 + this.random() * 3000, cpus),
-    );
+    const usual = 500 + this.random() * 3000;
+    const boot = this.quickBoots ? this.extra() * QUICK_BOOT_MS : usual;
+    this.workers.set(id, new Worker(id, { type, zone, spot, addr: id }, this.now, this.now + boot, cpus));
     return id;
   }
 
@@ -336,7 +352,10 @@
     this.writes++;
     if (!holds(false)) return false;
     apply();
-    return true;
+    if (this.lostAnswers === 0 || this.extra() >= this.lostAnswers) return true;
+    this.count("answers lost");
+    this.unread.push({ writer: node.name, write: this.writes });
+    return null;
   }
   private carryOutLate(holds: (late: boolean) => boolean, apply: () => void): void {
     const { writes } = this;
@@ -673,6 +692,7 @@
 
   /** The last task of a job has completed: some users call it off at this very moment, before or after it is known. */
   private taskEnded(id: string, done: RangeSet): void {
+    if (this.askedAtEnd.has(id) && done.covers(this.allJobs.get(id)!.tasks)) this.askAtEnd(id);
     if (this.cancelsAtEnd === 0 || !this.jobs.has(id)) return;
     if (!done.covers(this.allJobs.get(id)!.tasks) || this.extra() >= this.cancelsAtEnd) return;
     this.messages.push({
@@ -687,6 +707,17 @@
     });
   }
 
+  private askAtEnd(id: string): void {
+    for (const node of this.nodes)
+      this.messages.push({
+        at: this.now + this.extra() * 1500,
+        run: () => {
+          this.count("questions at the end of the last task");
+          this.pipelines.askAndRepeat(node, id);
+        },
+      });
+  }
+
   /** A copy of a report arrives at `at`, at any node or at who leads then. */
   private deliverCopy(w: Worker, report: WorkerReport, at: number, to: Node | null): void {
     const node = to ?? this.nodes[Math.floor(this.extra() * this.nodes.length)]!;
@@ -896,7 +927,7 @@
     const s = new Scheduler(
       {
         spans: SPANS,
-        teams: new Map(TEAMS.map((t) => [t.name, this.without === "quota" ? { ...t, cpusMax: 0 } : t])),
+        teams: new Map(this.teams.map((t) => [t.name, this.without === "quota" ? { ...t, cpusMax: 0 } : t])),
         fleet: { reuse: 0.5, idleBoots: 1.5, warmFor: Duration.seconds(2) },
         startGoals: new Map([["service", Duration.millis(100)]]),
       },
@@ -958,6 +989,11 @@
         if (!this.reachesState(node)) return;
         const jobs = new Map(this.jobs);
         const { revision } = this;
+        this.unread = this.unread.filter((lost) => {
+          if (lost.writer === node.name) return true;
+          this.count("writes read by others whose answer was lost");
+          return false;
+        });
         const snapshot = this.pipelines.snapshot(revision);
         this.later(
           this.on(node, () => {
@@ -1107,7 +1143,7 @@
         (late) => this.keyIs(leaderStamp, late),
         () => this.records.set(d.machine, d.record),
       );
-      if (wrote === true) s.recorded(d.machine, d.record, instant(this.now));
+      if (wrote === true || this.without === "record") s.recorded(d.machine, d.record, instant(this.now));
       else s.recordFailed(d.machine);
     } else if (d.kind === "rent") {
       const rent = (): string[] => {
@@ -1195,13 +1231,14 @@
             this.messages.push({ at: until + 1, run: reach });
             return;
           }
+          if (w.token > d.token && d.orders.length > 0) this.count("orders of an earlier leader");
           const done = this.execute(w, d.token, d.session, d.orders);
           const report = this.report(w);
           if (done && this.now < w.muteUntil) this.count("orders carried out by mute machines");
           if (done && this.now - sent > 2000 && d.orders.length > 0) this.count("orders carried out late");
           this.later(() => settle(done ? "done" : "rejected", report), true, this.heldUp("answers held up"));
         };
-        this.later(reach, true, this.heldUp("orders held up"));
+        this.later(reach, true, this.heldUp("orders held up") + this.lateOrder());
         this.messages.push({ at: this.now + 2000, run: () => settle("unknown", null) });
       }),
     );
@@ -1213,6 +1250,12 @@
     return 1000 + this.extra() * 7000;
   }
 
+  private lateOrder(): number {
+    if (this.lateOrders === 0 || this.extra() >= this.lateOrders) return 0;
+    this.count("late orders");
+    return 2000 + this.extra() * 14_000;
+  }
+
   // --- rules --------------------------------------------------------------------------------------------
 
   private check(): void {
@@ -1227,8 +1270,8 @@
         if (commit?.outcome === "cancelled" && late)
           this.broken.push({ rule: "ran_cancelled", text: `${t.job}/${t.index} on ${w.id} at ${this.now}` });
       }
-    if (this.calm && this.now % 1000 === 0) this.checkIdleRoom(usage);
-    for (const team of TEAMS)
+    if (this.calmSince !== null && this.now % 1000 === 0) this.checkIdleRoom(usage);
+    for (const team of this.teams)
       if (team.cpusMax > 0 && (usage.get(team.name) ?? 0) > team.cpusMax)
         this.broken.push({ rule: "quota", text: `${team.name}: ${usage.get(team.name)} at ${this.now}` });
   }
@@ -1237,7 +1280,7 @@
   private checkIdleRoom(usage: ReadonlyMap<string, number>): void {
     for (const { spec } of this.jobs.values()) {
       const used = usage.get(spec.team) ?? 0;
-      const limit = TEAMS.find((t) => t.name === spec.team)!.cpusMax;
+      const limit = this.teams.find((t) => t.name === spec.team)!.cpusMax;
       let waits = false;
       for (let n = 0; n < spec.tasks && !waits; n++)
         waits = !(this.completed.get(spec.id)?.has(n) ?? false) && this.holders(spec.id, n).length === 0;
@@ -1277,6 +1320,22 @@
       return spec.id;
     });
   }
+  /** Jobs that users send through any node, repeat until they are answered, and ask about. */
+  submitByUsers(count: number, change: Partial<JobSpec>, lasts?: readonly number[]): string[] {
+    return this.newSpecs(count, change, lasts).map((spec) => {
+      this.allJobs.set(spec.id, spec);
+      this.pipelines.submit(spec);
+      return spec.id;
+    });
+  }
+  /** The share of answers after which users ask all nodes at once. */
+  set closeLooks(share: number) {
+    this.pipelines.closeLooks.share = share;
+  }
+  askAboutNothing(): void {
+    this.count("questions about jobs that nobody sent");
+    this.pipelines.askAboutNothing(`req-9${String(this.nextJob).padStart(5, "0")}`);
+  }
   /** A job that waits for others, sent by a user through any node as soon as they are accepted. */
   submitAfter(awaits: readonly string[], change: Partial<JobSpec> = {}, lasts?: readonly number[]): string {
     const spec = this.newSpecs(1, { ...change, awaits }, lasts)[0]!;
@@ -1324,6 +1383,10 @@
   repeat(id: string): void {
     this.pipelines.repeat(id);
   }
+  /** At the end of the job's last task a user asks about it at all nodes and sends it once more. */
+  repeatWhenDone(id: string): void {
+    this.askedAtEnd.add(id);
+  }
   isAccepted(id: string): boolean {
     return this.pipelines.isAccepted(id);
   }
@@ -1362,6 +1425,14 @@
     this.end(node, away);
     return true;
   }
+  /** The process of a member that doesn't lead ends, so that its part changes hands; says whether there was one. */
+  endMember(away: number): boolean {
+    const node = this.nodes.find((n) => n.alive && n.name !== this.leader?.name);
+    if (node === undefined) return false;
+    this.count("members ended");
+    this.end(node, away);
+    return true;
+  }
   /** All processes end; the one with this number is back after `first`, the others after `rest`. */
   endAll(which: number, first: number, rest: number): void {
     for (const [i, node] of this.nodes.entries()) this.end(node, i === which ? first : rest);
@@ -1440,6 +1511,22 @@
       return held.length;
     };
   }
+  /** The reports of all machines are held back; they arrive at every controller when it is called. */
+  holdReportsForAll(): () => number {
+    const held: [Worker, WorkerReport][] = [];
+    for (const w of this.workers.values()) if (!w.gone && this.now >= w.up) held.push([w, this.report(w)]);
+    return () => {
+      for (const [w, report] of held)
+        for (const node of this.nodes) this.deliverCopy(w, report, this.now, node);
+      return held.length;
+    };
+  }
+  /** Machines with tasks that nobody has recorded, or that have been up for at most so long. */
+  newAtWork(ms: number): number {
+    return [...this.workers.values()].filter(
+      (w) => !w.gone && w.tasks.size > 0 && this.now - w.up <= ms && w.up - w.rented <= QUICK_BOOT_MS,
+    ).length;
+  }
   note(what: string, n = 1): void {
     this.count(what, n);
   }
@@ -1478,8 +1565,12 @@
   /** No more troubles, and no more jobs: what was accepted has to run. */
   calmDown(): this {
     this.rough = 0;
-    this.calm = true;
+    this.calmSince ??= this.now;
     this.lateWrites = 0;
+    this.lostAnswers = 0;
+    this.lateOrders = 0;
+    this.quickBoots = false;
+    this.closeLooks = 0;
     this.lateReports = 0;
     this.heldOrders = 0;
     this.cancelsAtEnd = 0;
