--- /dev/null
+++ b/test/meetings-handover.test.ts
@@ -0,0 +1,186 @@
+/**
+ * More meetings of two troubles (docs/meetings.md): what is on its way or only half known when leaders and parts change
+ * hands, as in `meetings.test.ts`.
+ */
+import * as Duration from "effect/Duration";
+import { SPANS, type World } from "./model.js";
+import { playAll, type Scenario } from "./scenarios.js";
+
+const LEASE = Duration.toMillis(SPANS.workerLease);
+const CANCEL = Duration.toMillis(SPANS.cancel);
+const led = (w: World): boolean => w.until(() => w.led(), 30_000);
+
+const MEETINGS: readonly Scenario[] = [
+  {
+    name: "new machines are up within two seconds and get work at once while writes lag, and the leader ends",
+    rough: 0.2,
+    play: (w) => {
+      w.quickBoots = true;
+      w.wait(8000);
+      for (let i = 0; i < 3; i++) {
+        w.lateWrites = 0.5;
+        w.slowStateMs = 1500;
+        w.submit(3, { tasks: 6, cpus: 4 }, [9000, 9000, 9000, 9000, 9000, 9000]);
+        w.until(() => w.newAtWork(2000) > 0, 12_000);
+        w.note("new machines at work", w.newAtWork(2000));
+        w.endLeader(300);
+        w.lateWrites = 0;
+        w.slowStateMs = 0;
+        if (led(w)) w.note("new leaders");
+        w.wait(9000);
+      }
+    },
+    met: { "new machines at work": 18, "leaders ended": 24, "new leaders": 24 },
+    guards: [["record", ["ran_twice"]]],
+  },
+  {
+    name: "one-task jobs come four a second for minutes, a quarter of them cancelled",
+    rough: 0.2,
+    seeds: 3,
+    play: (w, seed) => {
+      w.wait(8000);
+      for (let i = 0; i < 480; i++) {
+        const isLong = (i + seed) % 4 === 0;
+        const [id] = w.submit(1, { tasks: 1, cpus: 1 }, [isLong ? 60_000 : 1500]);
+        w.wait(250);
+        // called off before it is placed, on its way to a machine, or as it runs
+        const called = i >= 8 * (i % 3) ? w.open().find((job) => job === id) : undefined;
+        if (isLong && called !== undefined) {
+          w.wait((i % 3) * 150);
+          w.note("machines with cancelled tasks", w.cancel(called));
+          w.note("cancelled jobs");
+        }
+        if (i === 240) w.endLeader(500);
+      }
+    },
+    met: { "cancelled jobs": 240, "machines with cancelled tasks": 60 },
+    guards: [["cancel", ["ran_cancelled"]]],
+  },
+  {
+    name: "jobs are cancelled in the seconds in which one controller's work changes hands",
+    rough: 0.2,
+    play: (w, seed) => {
+      w.wait(10_000);
+      for (let i = 0; i < 4; i++) {
+        const jobs = w.submit(4, { tasks: 3, cpus: 2 }, [60_000, 60_000, 60_000]);
+        w.until(() => w.running(jobs) >= 8, 20_000);
+        w.endMember(i % 2 === 0 ? 200 : 6000);
+        for (const id of jobs) {
+          // before the others know, as the lease ends, and as the part is with its new member
+          w.wait(400 + ((seed + i) % 4) * 500);
+          w.note("machines with cancelled tasks", w.cancel(id));
+        }
+        w.wait(CANCEL / 3);
+      }
+      w.wait(CANCEL);
+    },
+    met: { "members ended": 44, "machines with cancelled tasks": 200 },
+    guards: [["cancel", ["ran_cancelled"]]],
+  },
+  {
+    name: "an old report reaches every controller just as a new leader begins",
+    rough: 0.2,
+    play: (w, seed) => {
+      w.wait(12_000);
+      for (let i = 0; i < 3; i++) {
+        const deliver = w.holdReportsForAll();
+        const jobs = w.submit(4, { tasks: 4, cpus: 1 }, [20_000, 20_000, 20_000, 20_000]);
+        w.until(() => w.running(jobs) >= 8, 20_000);
+        // new machines, and those with tasks, can't tell the new leader at once what they have
+        w.strike("cut", 4000, 6, jobs);
+        const { leaders } = w;
+        w.endLeader(seed % 2 === 0 ? 300 : 8000);
+        if (!w.until(() => w.leaders > leaders, 15_000)) continue;
+        for (let n = 0; n < 4; n++) {
+          w.note("reports as a leader begins", deliver());
+          w.wait(250);
+        }
+        w.wait(9000);
+      }
+    },
+    met: { "reports as a leader begins": 200, "leaders ended": 30, "copies after newer ones": 300 },
+    guards: [["seq", ["ran_twice"]]],
+  },
+  {
+    name: "a command of a leader that has ended or been deposed arrives after the new leader's",
+    rough: 0.2,
+    play: (w, seed) => {
+      w.wait(10_000);
+      for (let i = 0; i < 5; i++) {
+        w.lateOrders = 0.6;
+        w.submit(3, { tasks: 6, cpus: 1 });
+        w.wait(600);
+        if ((seed + i) % 2 === 0) w.endLeader(300);
+        else if (w.cutLeader(12_000, true) !== null) w.note("leaders deposed");
+        w.lateOrders = 0.2;
+        led(w);
+        w.wait(12_000);
+      }
+    },
+    met: {
+      "leaders ended": 24,
+      "leaders deposed": 18,
+      "late orders": 100,
+      "orders of an earlier leader": 30,
+    },
+    guards: [["confirm", ["ran_twice"]]],
+  },
+  {
+    name: "a transaction is carried out at once and only its answer is lost, while other nodes read what it wrote",
+    rough: 0.3,
+    play: (w) => {
+      w.wait(6000);
+      w.lostAnswers = 0.4;
+      for (let i = 0; i < 5; i++) {
+        w.submit(2, { tasks: 3, cpus: 1 });
+        w.submitByUsers(2, { tasks: 2, cpus: 1 });
+        w.wait(5000);
+        w.endLeader(300);
+        w.wait(5000);
+      }
+    },
+    met: { "answers lost": 200, "writes read by others whose answer was lost": 200, "leaders ended": 40 },
+    guards: [["adopt", ["unserved"]]],
+  },
+  {
+    name: "every team is at its limit while jobs are cancelled whose machines are cut off or hang, and the leader changes",
+    rough: 0.2,
+    play: (w, seed) => {
+      w.teams = [
+        { name: "red", cpus: 8, cpusMax: 16, gpus: 0, gpusMax: 0 },
+        { name: "blue", cpus: 8, cpusMax: 16, gpus: 0, gpusMax: 0 },
+      ];
+      w.usersCancel = false;
+      w.wait(8000);
+      const fill = ["red", "blue"].flatMap((team) =>
+        w.submit(2, { team, tasks: 3, cpus: 4 }, [90_000, 90_000, 90_000]),
+      );
+      const next = ["red", "blue"].flatMap((team) =>
+        w.submit(1, { team, tasks: 3, cpus: 4 }, [9000, 9000, 9000]),
+      );
+      // not one more of these tasks is allowed
+      const isFull = (): boolean => ["red", "blue"].every((team) => w.usageOf(team) > 12);
+      if (w.until(isFull, 40_000)) w.note("all teams at their limits");
+      const trouble = seed % 2 === 0 ? "cut" : "hung";
+      w.note(
+        "machines struck",
+        w.strike(trouble, seed % 3 === 0 ? LEASE + 4000 : 7000, 3, [...fill, ...next]),
+      );
+      for (const id of fill) w.note("machines with cancelled tasks", w.cancel(id));
+      w.endLeader(seed % 4 < 2 ? 300 : 8000);
+      if (led(w)) w.note("new leaders");
+      w.submit(2, { team: "red", tasks: 6, cpus: 2 });
+      w.submit(2, { team: "blue", tasks: 6, cpus: 2 });
+      w.wait(CANCEL + 5000);
+    },
+    met: {
+      "all teams at their limits": 10,
+      "machines struck": 24,
+      "machines with cancelled tasks": 30,
+      "new leaders": 11,
+    },
+    guards: [["confirm", ["quota", "ran_twice"]]],
+  },
+];
+
+playAll(MEETINGS, { seeds: 12, first: 4000, tries: 60, servedWithin: 120_000, countsServing: false });
