--- a/test/model.ts
+++ b/test/model.ts
@@ -1521,7 +1521,7 @@
       return held.length;
     };
   }
-  /** Machines with tasks that nobody has recorded, or that have been up for at most so long. */
+  /** How many machines that were quick to be up have tasks and have been up for at most so long. */
   newAtWork(ms: number): number {
     return [...this.workers.values()].filter(
       (w) => !w.gone && w.tasks.size > 0 && this.now - w.up <= ms && w.up - w.rented <= QUICK_BOOT_MS,
