--- a/src/core/pace.ts
+++ b/src/core/pace.ts
@@ -5,30 +5,16 @@
 import * as Duration from "effect/Duration";
 import { type Hold, type Job, type Machine } from "./cluster.js";
 import type { Outbox } from "./outbox.js";
-import { RANK } from "./records.js";
 import type { Scope } from "./scope.js";
 import { type Instant, passed } from "./time.js";
 
-/** How many times the mean of its job's finished tasks a task may take, and how many have to be finished first. */
-interface Measure {
-  readonly factor: number;
-  readonly enough: number;
-}
 /** Tasks of one job differ by half, machines by a tenth; early finishers are the short ones. */
-const PLAIN: Measure = { factor: 2.2, enough: 3 };
-/**
- * Of urgent jobs with a deadline, their own or that of a job that needs them: waiting for certainty costs more than a
- * task started anew for nothing. The stages of a pipeline have few tasks, and the slowest of them holds up all that
- * come after.
- */
-const URGENT_WITH_DEADLINE: Measure = { factor: 1.6, enough: 2 };
+const SLOW = 2.2;
+const ENOUGH = 3;
 const LOOK_EVERY = Duration.seconds(2);
 /** With more of them than this share the measure must be wrong. */
 const MOST = 0.25;
 
-const measureOf = (job: Job): Measure =>
-  job.due !== null && job.rank >= RANK.high ? URGENT_WITH_DEADLINE : PLAIN;
-
 export class Pace {
   private readonly ran = new Map<string, { tasks: number; ms: number }>();
   /** Tasks that were already started anew, by job. */
@@ -58,13 +44,8 @@
 
   private isOverdue(job: Job, ms: number): boolean {
     const row = this.ran.get(job.spec.id);
-    if (row === undefined || !this.isMeasured(job, row.tasks)) return false;
-    return ms > (row.ms / row.tasks) * measureOf(job).factor;
-  }
-
-  /** Whether enough of its tasks are finished to tell how long the others may take. */
-  private isMeasured(job: Job, finished: number): boolean {
-    return finished >= Math.max(measureOf(job).enough, job.running);
+    if (row === undefined || row.tasks < Math.max(ENOUGH, job.running)) return false;
+    return ms > (row.ms / row.tasks) * SLOW;
   }
 
   private setAside(m: Machine, now: Instant): boolean {
@@ -85,7 +66,7 @@
     const { cluster } = this.scope;
     for (const [id, row] of this.ran) {
       const job = cluster.jobs.get(id);
-      if (job === undefined || !this.isMeasured(job, row.tasks)) continue;
+      if (job === undefined || row.tasks < Math.max(ENOUGH, job.running)) continue;
       for (const holds of job.holds.values())
         for (const hold of holds) {
           if (hold.state !== "running" || hold.stopping || hold.began === null) continue;
