--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -196,7 +196,9 @@
       const result = yield* commitForUser(this.state, this.isNew(wire.ref), [
         { put: keys.job(wire.ref), value: record },
       ]);
-      if (result.ok === null) return problem(400, `can't be stored: ${result.error}`);
+      // the state service refuses before it compares: this may be a repeat of an accepted job all the same
+      if (result.ok === null)
+        return yield* this.refused(wire.ref, problem(400, `can't be stored: ${result.error}`));
       if (result.ok === false) return yield* this.repeated(wire.ref);
       this.mirror.put(keys.job(wire.ref), record, result.revision);
       this.accepted(wire);
--- a/test/limits-service.test.ts
+++ b/test/limits-service.test.ts
@@ -174,6 +174,16 @@
   assert.deepEqual(answer, { status: 200, json: { ref: "req-000013", status: "done" } });
 });
 
+test("a repeat of an accepted job gets its answer also while the state service refuses to store it", async () => {
+  const refuses = (keys: readonly string[]): boolean => keys.includes("job/req-000014");
+  state.refuses.add(refuses);
+  assert.equal((await ask("POST", "/v2/runs", job("req-000014"))).status, 400);
+  state.put("commit/req-000014", { outcome: "done", tasks: 30 });
+  const answer = await ask("POST", "/v2/runs", job("req-000014"));
+  assert.deepEqual(answer, { status: 200, json: { ref: "req-000014", status: "done" } });
+  state.refuses.delete(refuses);
+});
+
 test("types that are too many for one value aren't written, and every node knows them all the same", async () => {
   const otherState = new StateStandIn();
   const otherCloud = new CloudStandIn(() => "");
