--- a/src/core/cluster-state.ts
+++ b/src/core/cluster-state.ts
@@ -207,7 +207,7 @@
   progressed: () => undefined,
 });
 
-/** A machine of which only the record is known. Its size follows from its type (`Scope.applyType`). */
+/** A machine of which only the record is known. Its size follows from its type (`SchedulerContext.applyType`). */
 export const newMachine = (id: string, record: MachineRecord, now: Instant): Machine => ({
   id,
   type: record.type,
--- a/src/core/outbox.ts
+++ b/src/core/command-batch.ts
@@ -3,7 +3,7 @@
 import type { Hold } from "./cluster.js";
 import type { Order } from "./records.js";
 
-export class Outbox {
+export class CommandBatch {
   readonly orders = new Map<string, Order[]>();
   /** What can wait until something else goes to the same machine. */
   readonly asides = new Map<string, Order[]>();
@@ -14,7 +14,7 @@
   }
 
   /** Adds all that was decided on here to `other`, in order. */
-  moveTo(other: Outbox): void {
+  moveTo(other: CommandBatch): void {
     for (const [machine, orders] of this.orders) for (const order of orders) other.push(machine, order);
   }
 
--- a/src/core/command-sender.ts
+++ b/src/core/command-sender.ts
@@ -6,9 +6,9 @@
 import { answeredDirectly, changeHold, type Hold, holdKey, type Machine, machineOf } from "./cluster.js";
 import { notOlder, removeHold, type ReportId } from "./cluster.js";
 import type { Decision, OrderOutcome } from "./decisions.js";
-import type { Outbox } from "./outbox.js";
+import type { CommandBatch } from "./command-batch.js";
 import type { Order } from "./records.js";
-import type { Scope } from "./scope.js";
+import type { SchedulerContext } from "./scheduler-context.js";
 import { termOf, tokenOf } from "./term.js";
 import { type Instant, passed, plus } from "./time.js";
 
@@ -39,7 +39,7 @@
   /** How long after its last message a machine is asked for a report. */
   private readonly askAfter: Duration.Duration;
 
-  constructor(private readonly scope: Scope) {
+  constructor(private readonly scope: SchedulerContext) {
     const interval = Duration.times(scope.options.spans.reportEvery, 1.25);
     this.askAfter = Duration.sum(interval, Duration.millis(500));
   }
@@ -67,7 +67,7 @@
   }
 
   /** Sends this step's commands, then questions to machines that should have been heard. */
-  send(now: Instant, outbox: Outbox, decisions: Decision[]): void {
+  send(now: Instant, outbox: CommandBatch, decisions: Decision[]): void {
     for (const id of outbox.orders.keys()) {
       const machine = this.scope.cluster.machines.get(id);
       const orders = outbox.take(id);
--- a/src/core/fleet-decisions.ts
+++ b/src/core/fleet-decisions.ts
@@ -4,19 +4,19 @@
 import type { Fleet } from "./fleet.js";
 import type { JobQueue } from "./job-queue.js";
 import { roomInLimit } from "./quota.js";
-import type { Returns } from "./returns.js";
-import type { Scope } from "./scope.js";
+import type { MachineReturns } from "./machine-returns.js";
+import type { SchedulerContext } from "./scheduler-context.js";
 import type { Instant } from "./time.js";
 
 /** Machines returned in one request. */
 const MAX_RELEASE = 100;
 
-/** Brings together what is returned for cause (`Returns`), what is idle, and what is to be rented (`Fleet`). */
+/** Brings together what is returned for cause (`MachineReturns`), what is idle, and what is to be rented (`Fleet`). */
 export class FleetDecisions {
   constructor(
-    private readonly scope: Scope,
+    private readonly scope: SchedulerContext,
     private readonly fleet: Fleet,
-    private readonly returns: Returns,
+    private readonly returns: MachineReturns,
     private readonly queue: JobQueue,
   ) {}
 
--- a/src/core/job-queue.ts
+++ b/src/core/job-queue.ts
@@ -7,7 +7,7 @@
 import { timeFor } from "./pipelines.js";
 import { fitsGuarantee, type Usage } from "./quota.js";
 import { RANK } from "./records.js";
-import type { Scope } from "./scope.js";
+import type { SchedulerContext } from "./scheduler-context.js";
 import { type Instant, passed, plus } from "./time.js";
 
 /** A job that waited this long without a single start goes before others of its rank, and with those above. */
@@ -37,7 +37,7 @@
   private guaranteedAt = -1;
   private someStarved = false;
 
-  constructor(private readonly scope: Scope) {}
+  constructor(private readonly scope: SchedulerContext) {}
 
   /** Waiting jobs that may be started now, the first to be served first. */
   sorted(now: Instant): Job[] {
--- a/src/core/proof.ts
+++ b/src/core/lease-expiry.ts
@@ -1,10 +1,10 @@
 /**
- * Proof by time: without a report and without a release, a machine's old session is over once nobody can have
+ * Proof by time that a lease has ended: without a report and without a release, a machine's old session is over once nobody can have
  * answered its worker for a whole lease (S3 in docs/design.md).
  */
 import * as Duration from "effect/Duration";
 import { type Machine, occupies, removeHold, setMachine } from "./cluster.js";
-import type { Scope } from "./scope.js";
+import type { SchedulerContext } from "./scheduler-context.js";
 import { type Instant, passed, plus, stretched } from "./time.js";
 
 /** What a member vouches for: when it last answered each worker, as of an instant of the leader's clock. */
@@ -15,10 +15,10 @@
   readonly answered: Map<string, Instant>;
 }
 
-export class Proof {
+export class LeaseExpiry {
   private vouches = new Map<string, Vouch>();
 
-  constructor(private readonly scope: Scope) {
+  constructor(private readonly scope: SchedulerContext) {
     this.newTerm();
   }
 
--- a/src/core/machine-intake.ts
+++ b/src/core/machine-intake.ts
@@ -2,7 +2,7 @@
 import * as Duration from "effect/Duration";
 import { addMachine, dropMachine, type Machine, newMachine, setMachine } from "./cluster.js";
 import type { MachineRecord } from "./records.js";
-import type { Scope } from "./scope.js";
+import type { SchedulerContext } from "./scheduler-context.js";
 import { type Instant, plus } from "./time.js";
 
 /** A machine as the cloud lists it. */
@@ -20,7 +20,7 @@
 export class MachineIntake {
   private readonly gone = new Set<string>();
 
-  constructor(private readonly scope: Scope) {}
+  constructor(private readonly scope: SchedulerContext) {}
 
   /** A machine record read from the state service, or one just written; null if the machine is gone. */
   recorded(id: string, record: MachineRecord, now: Instant): Machine | null {
--- a/src/core/returns.ts
+++ b/src/core/machine-returns.ts
@@ -2,9 +2,9 @@
 import * as Duration from "effect/Duration";
 import { type Hold, type Machine, occupies } from "./cluster.js";
 import { allowed, freeRoom, type Room, slots, takeRoom } from "./placement.js";
-import type { Proof } from "./proof.js";
-import type { Scope } from "./scope.js";
-import { movable } from "./tidy.js";
+import type { LeaseExpiry } from "./lease-expiry.js";
+import type { SchedulerContext } from "./scheduler-context.js";
+import { movable } from "./reconciler.js";
 import { type Instant, minus, passed, plus } from "./time.js";
 
 /** After this long a worker gives a report up. */
@@ -34,15 +34,15 @@
   readonly mute: number;
 }
 
-export class Returns {
+export class MachineReturns {
   /** So long after its last answered report a machine's tasks go on for certain; a release takes a moment. */
   private readonly almostALease: Duration.Duration;
   /** How long a worker takes to be heard elsewhere: its next report, no answer to it, another node, and some room. */
   private readonly movesOn: Duration.Duration;
 
   constructor(
-    private readonly scope: Scope,
-    private readonly proof: Proof,
+    private readonly scope: SchedulerContext,
+    private readonly proof: LeaseExpiry,
   ) {
     const { workerLease, reportEvery } = scope.options.spans;
     this.almostALease = Duration.subtract(workerLease, RELEASE_TAKES);
--- a/src/core/placer.ts
+++ b/src/core/placer.ts
@@ -3,15 +3,15 @@
 import { suspect } from "./attempt-results.js";
 import { type Hold, type Job, type Machine, removeHold } from "./cluster.js";
 import type { JobQueue } from "./job-queue.js";
-import { Outbox } from "./outbox.js";
+import { CommandBatch } from "./command-batch.js";
 import { allowed, choose, fill, freeRoom, slots, zoned } from "./placement.js";
 import { PlacementRound } from "./placement-round.js";
 import { Preemption } from "./preemption.js";
 import { fitsLimit, roomInLimit, type Usage } from "./quota.js";
 import type { Team } from "./records.js";
-import type { Scope } from "./scope.js";
+import type { SchedulerContext } from "./scheduler-context.js";
 import { TaskStarter } from "./task-starter.js";
-import { stopGang } from "./tidy.js";
+import { stopGang } from "./reconciler.js";
 import { type Instant, passed } from "./time.js";
 
 /** Smaller jobs would take all room that gets free: after this long a gang holds up those of its rank and below. */
@@ -28,7 +28,7 @@
   private triedAt: Instant | null = null;
 
   constructor(
-    private readonly scope: Scope,
+    private readonly scope: SchedulerContext,
     private readonly queue: JobQueue,
   ) {
     this.starter = new TaskStarter(scope);
@@ -41,7 +41,7 @@
   }
 
   /** Starts what fits, and makes room for what doesn't. */
-  step(now: Instant, outbox: Outbox, notes: string[]): void {
+  step(now: Instant, outbox: CommandBatch, notes: string[]): void {
     if (!this.isWorthTrying(now)) return;
     const queue = this.queue.sorted(now);
     const round = this.newRound(queue, now, outbox, notes);
@@ -65,7 +65,12 @@
     return true;
   }
 
-  private newRound(queue: readonly Job[], now: Instant, outbox: Outbox, notes: string[]): PlacementRound {
+  private newRound(
+    queue: readonly Job[],
+    now: Instant,
+    outbox: CommandBatch,
+    notes: string[],
+  ): PlacementRound {
     const round = new PlacementRound(now, outbox, notes, this.unseen());
     const leastCpus = queue.reduce((least, job) => Math.min(least, job.spec.cpus), Infinity);
     for (const machine of this.scope.cluster.free.atLeast(leastCpus))
@@ -185,7 +190,7 @@
     for (const machine of candidates) if (allowed(spec, machine)) total += slots(spec, freeRoom(machine));
     if (total < spec.tasks) return false;
     const attempt = this.starter.nextAttempt();
-    const trial = new Outbox();
+    const trial = new CommandBatch();
     const placed: Hold[] = [];
     for (const index of job.pending.take(spec.tasks)) {
       const machine = choose(this.scope.cluster, job, candidates, round.now, round.partRoom);
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -8,7 +8,7 @@
 import { type KnownHold, victims } from "./placement.js";
 import type { PlacementRound } from "./placement-round.js";
 import { type JobSpec, RANK } from "./records.js";
-import type { Scope } from "./scope.js";
+import type { SchedulerContext } from "./scheduler-context.js";
 import { type Instant, passed, plus } from "./time.js";
 
 /** Machines on which something was started lately, where stopping costs the least. */
@@ -37,7 +37,7 @@
   private searchedAllAt: Instant | null = null;
 
   constructor(
-    private readonly scope: Scope,
+    private readonly scope: SchedulerContext,
     private readonly queue: JobQueue,
   ) {}
 
--- a/src/core/rates.ts
+++ b/src/core/rate-limit-selector.ts
@@ -16,7 +16,7 @@
 /** A refusal within this time after going back up says that the lower rates hold. */
 const SOON = Duration.minutes(1);
 
-export class Rates {
+export class RateLimitSelector {
   private readonly lower: Rate;
   private span = FIRST;
   private loweredUntil: Instant | null = null;
--- a/src/core/budget.ts
+++ b/src/core/rate-limiter.ts
@@ -8,7 +8,7 @@
 const PACE = 0.9;
 const LONGEST_TURN = Duration.seconds(1);
 
-export class Budget {
+export class RateLimiter {
   private tokens: number;
   private filled: Instant | null = null;
   private closedUntil: Instant | null = null;
--- a/src/core/tidy.ts
+++ b/src/core/reconciler.ts
@@ -1,9 +1,9 @@
 /** Stops what must not run, forgets what is over, moves replicas off machines that go. */
 import * as Duration from "effect/Duration";
 import { type Hold, type Machine, occupies } from "./cluster.js";
-import type { Outbox } from "./outbox.js";
+import type { CommandBatch } from "./command-batch.js";
 import { choose } from "./placement.js";
-import type { Scope } from "./scope.js";
+import type { SchedulerContext } from "./scheduler-context.js";
 import { type Instant, passed } from "./time.js";
 
 /** An exited task takes no room: forgetting it waits this long for other orders to the same machine. */
@@ -18,11 +18,11 @@
   h.doubt === null &&
   passed(now, h.since, Duration.seconds(35));
 
-export class Tidy {
-  constructor(private readonly scope: Scope) {}
+export class Reconciler {
+  constructor(private readonly scope: SchedulerContext) {}
 
   /** Looks at the machines about which something changed; keeps an eye on those where something is under way. */
-  step(now: Instant, outbox: Outbox): void {
+  step(now: Instant, outbox: CommandBatch): void {
     const { attention } = this.scope.cluster;
     for (const m of [...attention]) {
       m.idleSince = m.holds.size === 0 && m.heard !== null ? (m.idleSince ?? now) : null;
@@ -32,7 +32,7 @@
   }
 
   /** Whether there is more to do here later. */
-  private machine(m: Machine, now: Instant, outbox: Outbox): boolean {
+  private machine(m: Machine, now: Instant, outbox: CommandBatch): boolean {
     let more = m.draining || m.noticeUntil !== null;
     if (m.noticeUntil !== null) this.evacuate(m, now, outbox);
     let moving = m.draining && [...m.holds.values()].some((h) => h.stopping);
@@ -74,7 +74,7 @@
   }
 
   /** A machine that the cloud takes back soon: what can save does so, replicas move if there is room. */
-  private evacuate(m: Machine, now: Instant, outbox: Outbox): void {
+  private evacuate(m: Machine, now: Instant, outbox: CommandBatch): void {
     const { cluster } = this.scope;
     let room: Machine[] | null = null;
     for (const hold of m.holds.values()) {
@@ -95,7 +95,7 @@
 }
 
 /** Takes a gang down with time to save, all tasks at once; says how many are still there. */
-export const stopGang = (holds: readonly Hold[], outbox: Outbox): number => {
+export const stopGang = (holds: readonly Hold[], outbox: CommandBatch): number => {
   const live = holds.filter(occupies);
   for (const hold of live) if (hold.state !== "ordered" && !hold.stopping) outbox.stop(hold);
   return live.length;
--- a/src/core/report-intake.ts
+++ b/src/core/report-intake.ts
@@ -17,9 +17,9 @@
 import type { Hold, Machine } from "./cluster.js";
 import { finishTask } from "./job-intake.js";
 import type { MachineIntake } from "./machine-intake.js";
-import type { Pace } from "./pace.js";
+import type { SlowMachineDetector } from "./slow-machine-detector.js";
 import type { TaskReport, WorkerReport } from "./records.js";
-import type { Scope } from "./scope.js";
+import type { SchedulerContext } from "./scheduler-context.js";
 import { termOf } from "./term.js";
 import { type Instant, passed, plus } from "./time.js";
 
@@ -29,9 +29,9 @@
 /** Applies each newer report to the cluster; older ones and late copies change nothing. */
 export class ReportIntake {
   constructor(
-    private readonly scope: Scope,
+    private readonly scope: SchedulerContext,
     private readonly machines: MachineIntake,
-    private readonly pace: Pace,
+    private readonly pace: SlowMachineDetector,
   ) {}
 
   /** `at`: when a member took the report; `via`: which one. */
--- a/src/core/scope.ts
+++ b/src/core/scheduler-context.ts
@@ -17,7 +17,7 @@
   readonly startGoals: ReadonlyMap<string, Duration.Duration>;
 }
 
-export class Scope {
+export class SchedulerContext {
   readonly cluster: Cluster = newCluster();
   types: readonly MachineType[] = [];
   typeByName = new Map<string, MachineType>();
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -2,7 +2,7 @@
  * The leader's core: events in, decisions out. It reads no clock, draws no random number and touches no socket.
  * Safety rests on one invariant: a task is started only while nothing holds it, where a hold is removed only once it is
  * certain that the attempt neither runs nor can still start (S4 in docs/design.md). The class only brings the parts of
- * the core together; each has a module of its own, and all share the `Scope`.
+ * the core together; each has a module of its own, and all share the `SchedulerContext`.
  */
 import { type Cluster, heardOf, type Machine } from "./cluster.js";
 import { type BatchResult, CommandSender } from "./command-sender.js";
@@ -12,18 +12,18 @@
 import { JobIntake } from "./job-intake.js";
 import { JobQueue } from "./job-queue.js";
 import { type ListedMachine, MachineIntake } from "./machine-intake.js";
-import { Outbox } from "./outbox.js";
-import { Pace } from "./pace.js";
+import { CommandBatch } from "./command-batch.js";
+import { SlowMachineDetector } from "./slow-machine-detector.js";
 import { Placer } from "./placer.js";
-import { Proof } from "./proof.js";
+import { LeaseExpiry } from "./lease-expiry.js";
 import type { Range } from "./ranges.js";
 import type { JobSpec, MachineRecord, MachineType, Order, RentalRecord } from "./records.js";
 import type { TermRecord, WorkerReport } from "./records.js";
 import { ReportIntake } from "./report-intake.js";
-import { Returns } from "./returns.js";
-import { type SchedulerOptions, Scope } from "./scope.js";
+import { MachineReturns } from "./machine-returns.js";
+import { type SchedulerOptions, SchedulerContext } from "./scheduler-context.js";
 import { summaryOf } from "./summary.js";
-import { Tidy } from "./tidy.js";
+import { Reconciler } from "./reconciler.js";
 import type { Instant } from "./time.js";
 import type { ZoneWatch } from "./zones.js";
 
@@ -33,16 +33,16 @@
 export class Scheduler {
   /** Rentals under way and what the fleet's sizing remembers. */
   readonly fleet: Fleet;
-  private readonly scope: Scope;
+  private readonly scope: SchedulerContext;
   private readonly jobs: JobIntake;
   private readonly machines: MachineIntake;
   private readonly reports: ReportIntake;
   private readonly commands: CommandSender;
-  private readonly proof: Proof;
+  private readonly proof: LeaseExpiry;
   private readonly queue: JobQueue;
   private readonly placer: Placer;
-  private readonly pace: Pace;
-  private readonly tidy: Tidy;
+  private readonly pace: SlowMachineDetector;
+  private readonly tidy: Reconciler;
   private readonly fleetDecisions: FleetDecisions;
   private listedOnce = false;
 
@@ -54,18 +54,18 @@
     now: Instant,
     zones?: ZoneWatch,
   ) {
-    this.scope = new Scope(options, term, now, leaderStamp, zones);
+    this.scope = new SchedulerContext(options, term, now, leaderStamp, zones);
     this.fleet = new Fleet(options.fleet);
     this.jobs = new JobIntake(this.scope.cluster);
     this.machines = new MachineIntake(this.scope);
-    this.pace = new Pace(this.scope);
+    this.pace = new SlowMachineDetector(this.scope);
     this.reports = new ReportIntake(this.scope, this.machines, this.pace);
     this.commands = new CommandSender(this.scope);
-    this.proof = new Proof(this.scope);
+    this.proof = new LeaseExpiry(this.scope);
     this.queue = new JobQueue(this.scope);
     this.placer = new Placer(this.scope, this.queue);
-    this.tidy = new Tidy(this.scope);
-    const returns = new Returns(this.scope, this.proof);
+    this.tidy = new Reconciler(this.scope);
+    const returns = new MachineReturns(this.scope, this.proof);
     this.fleetDecisions = new FleetDecisions(this.scope, this.fleet, returns, this.queue);
   }
 
@@ -203,7 +203,7 @@
   /** Decides on everything but the fleet's size. Its work is in proportion to what changed and what waits. */
   step(now: Instant): Decision[] {
     const decisions: Decision[] = [];
-    const outbox = new Outbox();
+    const outbox = new CommandBatch();
     const notes: string[] = [];
     this.commands.unblock(now);
     this.proof.step(now);
--- a/src/core/pace.ts
+++ b/src/core/slow-machine-detector.ts
@@ -4,8 +4,8 @@
  */
 import * as Duration from "effect/Duration";
 import { type Hold, type Job, type Machine } from "./cluster.js";
-import type { Outbox } from "./outbox.js";
-import type { Scope } from "./scope.js";
+import type { CommandBatch } from "./command-batch.js";
+import type { SchedulerContext } from "./scheduler-context.js";
 import { type Instant, passed } from "./time.js";
 
 /** Tasks of one job differ by half, machines by a tenth; early finishers are the short ones. */
@@ -15,13 +15,13 @@
 /** With more of them than this share the measure must be wrong. */
 const MOST = 0.25;
 
-export class Pace {
+export class SlowMachineDetector {
   private readonly ran = new Map<string, { tasks: number; ms: number }>();
   /** Tasks that were already started anew, by job. */
   private readonly renewed = new Map<string, Set<number>>();
   private looked: Instant | null = null;
 
-  constructor(private readonly scope: Scope) {}
+  constructor(private readonly scope: SchedulerContext) {}
 
   jobOver(id: string): void {
     this.ran.delete(id);
@@ -60,7 +60,7 @@
   }
 
   /** Now and then: what runs far too long. */
-  step(now: Instant, outbox: Outbox): void {
+  step(now: Instant, outbox: CommandBatch): void {
     if (this.looked !== null && !passed(now, this.looked, LOOK_EVERY)) return;
     this.looked = now;
     const { cluster } = this.scope;
--- a/src/core/summary.ts
+++ b/src/core/summary.ts
@@ -1,6 +1,6 @@
 /** Figures for the operators' log: what there is, what is in use, what waits. */
 import type { Cluster, Machine } from "./cluster.js";
-import type { Scope } from "./scope.js";
+import type { SchedulerContext } from "./scheduler-context.js";
 import type { Instant } from "./time.js";
 
 /** Processors of a machine's tasks by what they do; tasks of unknown size are left out. */
@@ -21,7 +21,7 @@
   return cpus;
 };
 
-const machineFigures = (scope: Scope, now: Instant) => {
+const machineFigures = (scope: SchedulerContext, now: Instant) => {
   const figures = {
     ready: 0,
     booting: 0,
@@ -56,7 +56,7 @@
 };
 
 /** The figures of one line, by name. Looks at all machines, so it is not for every step. */
-export const summaryOf = (scope: Scope, now: Instant): Record<string, number> => {
+export const summaryOf = (scope: SchedulerContext, now: Instant): Record<string, number> => {
   const { cluster } = scope;
   const { ready, booting, spot, ...cpus } = machineFigures(scope, now);
   return {
--- a/src/core/task-starter.ts
+++ b/src/core/task-starter.ts
@@ -1,7 +1,7 @@
 /** Decides on starts: each gets a hold first (S4) and an attempt number that is never used again. */
 import { addHold, type Hold, type Job, type Machine } from "./cluster.js";
-import type { Outbox } from "./outbox.js";
-import type { Scope } from "./scope.js";
+import type { CommandBatch } from "./command-batch.js";
+import type { SchedulerContext } from "./scheduler-context.js";
 import { attemptOf } from "./term.js";
 import type { Instant } from "./time.js";
 
@@ -12,7 +12,7 @@
 export class TaskStarter {
   private attempts = 0;
 
-  constructor(private readonly scope: Scope) {}
+  constructor(private readonly scope: SchedulerContext) {}
 
   /** The number of the next attempt; all tasks of a gang share one. */
   nextAttempt(): number {
@@ -27,7 +27,7 @@
     attemptNumber: number,
     machine: Machine,
     now: Instant,
-    outbox: Outbox,
+    outbox: CommandBatch,
   ): Hold {
     const { cluster, term } = this.scope;
     const attempt = attemptOf(term.token, attemptNumber);
--- a/src/core/part.ts
+++ b/src/core/worker-partition.ts
@@ -9,7 +9,7 @@
 import type { OrderOutcome } from "./decisions.js";
 import { answerToken, ownerOf } from "./term.js";
 
-export type BeatAnswer =
+export type ReportAnswer =
   | { kind: "taken"; token: number; halts: Order[] }
   | { kind: "elsewhere"; member: string | null }
   | { kind: "unsure" };
@@ -93,7 +93,7 @@
     );
   });
 
-export class Part {
+export class WorkerPartition {
   term: TermRecord | null = null;
   private readonly workers = new Map<string, Worker>();
   private readonly sentAway = new Map<string, Instant>();
@@ -144,13 +144,13 @@
   }
 
   /** A worker's own report. `entitled`: this node's fence window is open; `isOver`: this job has its commit. */
-  beat(
+  handleReport(
     r: WorkerReport,
     entitled: boolean,
     incarnation: number,
     now: Instant,
     isOver: (job: string) => boolean = () => false,
-  ): BeatAnswer {
+  ): ReportAnswer {
     const term = this.term;
     if (!entitled || term === null) return { kind: "unsure" };
     if (!term.members.some((m) => m.name === this.member && m.incarnation === incarnation))
--- a/src/io/cloud-client.ts
+++ b/src/io/cloud-client.ts
@@ -2,7 +2,7 @@
 import * as Data from "effect/Data";
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
-import { Budget } from "../core/budget.js";
+import { RateLimiter } from "../core/rate-limiter.js";
 import { call, json, makeAgent, type Reply } from "./call.js";
 import { now } from "./clock.js";
 import {
@@ -26,14 +26,14 @@
 
 export class CloudClient {
   private readonly agent = makeAgent(6);
-  private readonly budget: Budget;
+  private readonly budget: RateLimiter;
 
   constructor(
     private readonly addr: string,
     rps: number,
   ) {
     // the leader makes nearly all calls; a little is left for the others' start
-    this.budget = new Budget(rps * 0.8, Math.max(1, rps));
+    this.budget = new RateLimiter(rps * 0.8, Math.max(1, rps));
   }
 
   private send(method: "GET" | "POST", path: string, body?: string): Effect.Effect<Reply, CloudFailed> {
--- a/src/io/codec.ts
+++ b/src/io/codec.ts
@@ -229,20 +229,20 @@
 };
 
 const OPS = { start: "start", stop: "halt", forget: "reap" } as const;
-const wireOrder = (o: Order) => ({
+const wireCommand = (o: Order) => ({
   verb: OPS[o.op],
   chore: taskName(o.job, o.index),
   try: o.attempt,
   ...(o.op === "stop" ? { leeway_s: o.graceS } : {}),
 });
 
-export const beatAnswer = (token: number, orders: readonly Order[]): string =>
-  JSON.stringify({ baton: token, orders: orders.map(wireOrder) });
-export const elsewhereAnswer = (member: string | null): string =>
+export const reportAnswer = (token: number, orders: readonly Order[]): string =>
+  JSON.stringify({ baton: token, orders: orders.map(wireCommand) });
+export const redirectAnswer = (member: string | null): string =>
   JSON.stringify(member === null ? {} : { foreman: member });
-export const ordersPath = "/orders";
-export const ordersBody = (token: number, session: number, orders: readonly Order[]): string =>
-  JSON.stringify({ baton: token, shift: session, orders: orders.map(wireOrder) });
+export const commandsPath = "/orders";
+export const commandsBody = (token: number, session: number, orders: readonly Order[]): string =>
+  JSON.stringify({ baton: token, shift: session, orders: orders.map(wireCommand) });
 
 // --- cloud ----------------------------------------------------------------------------------------------
 
--- a/src/io/state-client.ts
+++ b/src/io/state-client.ts
@@ -3,8 +3,8 @@
 import * as Data from "effect/Data";
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
-import { Budget } from "../core/budget.js";
-import { type Rate, Rates } from "../core/rates.js";
+import { RateLimiter } from "../core/rate-limiter.js";
+import { type Rate, RateLimitSelector } from "../core/rate-limit-selector.js";
 import type { Instant } from "../core/time.js";
 import { type Call, call, CallFailed, json, makeAgent, type Reply } from "./call.js";
 import { now } from "./clock.js";
@@ -44,9 +44,9 @@
 export class StateClient {
   private readonly agent: http.Agent = makeAgent(24);
   private readonly watchAgent: http.Agent = makeAgent(4);
-  private readonly requests: Budget;
-  private readonly changes: Budget;
-  private readonly rates: Rates;
+  private readonly requests: RateLimiter;
+  private readonly changes: RateLimiter;
+  private readonly rates: RateLimitSelector;
   /** The rates that this node's share is taken from, and that share. */
   private inForce: Rate;
   private share: number;
@@ -60,12 +60,12 @@
     limits: Rate & { readonly next?: Rate },
     private readonly nodes: number,
   ) {
-    this.rates = new Rates(limits, limits.next);
+    this.rates = new RateLimitSelector(limits, limits.next);
     this.inForce = this.rates.at(now());
     this.share = 1 / nodes;
     this.shareOfChanges = this.share;
-    this.requests = new Budget(limits.rps / nodes);
-    this.changes = new Budget(limits.writeRps / nodes);
+    this.requests = new RateLimiter(limits.rps / nodes);
+    this.changes = new RateLimiter(limits.writeRps / nodes);
   }
 
   /** Whether this node leads: the leader's share is larger. */
--- a/src/io/worker-client.ts
+++ b/src/io/worker-client.ts
@@ -4,7 +4,7 @@
 import type { Order, WorkerReport } from "../core/records.js";
 import type { OrderOutcome } from "../core/scheduler.js";
 import { call, closeFree, json, makeAgent } from "./call.js";
-import { ordersBody, ordersPath, parseReport } from "./codec.js";
+import { commandsBody, commandsPath, parseReport } from "./codec.js";
 
 const TIMEOUT = Duration.seconds(2);
 /** A question without orders may be asked again, so it needn't wait long. */
@@ -55,12 +55,12 @@
     /** Asked again when its turn comes. */
     maySend: () => boolean = () => true,
   ): Effect.Effect<{ outcome: OrderOutcome; report: WorkerReport | null }> {
-    const body = ordersBody(token, session, orders);
+    const body = commandsBody(token, session, orders);
     const timeout = orders.length === 0 ? QUESTION_TIMEOUT : TIMEOUT;
     const ask = Effect.suspend(() => {
       if (!maySend()) return Effect.succeed(null);
       this.use(addr);
-      return call(this.agent, { addr, method: "POST", path: ordersPath, body, timeout });
+      return call(this.agent, { addr, method: "POST", path: commandsPath, body, timeout });
     });
     this.open++;
     return this.places
--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -4,10 +4,10 @@
 import { hopeless } from "../core/admission.js";
 import { type CommitRecord, type FaninRecord, keys, type Outcome, type Team } from "../core/records.js";
 import {
-  beatAnswer,
+  reportAnswer,
   type Change,
   type Condition,
-  elsewhereAnswer,
+  redirectAnswer,
   jobAnswer,
   jobRecord,
   parseReport,
@@ -23,7 +23,7 @@
 import { isOverTheRate, type StateClient } from "../io/state-client.js";
 import type { Leader } from "./leader.js";
 import type { Member } from "./member.js";
-import type { Mirror } from "./mirror.js";
+import type { JobCache } from "./job-cache.js";
 import type { Standing, Status } from "./status.js";
 import { commitForUser } from "./user-writes.js";
 
@@ -68,7 +68,7 @@
   constructor(
     private readonly options: FrontOptions,
     private readonly state: StateClient,
-    private readonly mirror: Mirror,
+    private readonly mirror: JobCache,
     private readonly status: Status,
     private readonly member: Member,
     private readonly leader: Leader,
@@ -78,7 +78,7 @@
   serve(): Effect.Effect<void, Error> {
     const server = http.createServer((request, response) => {
       const url = request.url ?? "";
-      if (url === paths.beat && request.method === "POST") this.beat(request, response);
+      if (url === paths.beat && request.method === "POST") this.handleReport(request, response);
       else if (url === paths.up) this.send(response, this.up());
       else if (url === paths.runs || url.startsWith(`${paths.runs}/`)) this.user(url, request, response);
       else this.send(response, problem(404, "no such path"));
@@ -111,7 +111,7 @@
     return answer(200, '{"ok":true}');
   }
 
-  private beat(request: http.IncomingMessage, response: http.ServerResponse): void {
+  private handleReport(request: http.IncomingMessage, response: http.ServerResponse): void {
     readBody(request, 8 * 1024 * 1024, (body) => {
       let report = null;
       try {
@@ -120,9 +120,9 @@
         // answered below
       }
       if (report === null) return this.send(response, problem(400, "not a report"));
-      const a = this.member.beat(report);
-      if (a.kind === "taken") this.send(response, answer(200, beatAnswer(a.token, a.halts)));
-      else if (a.kind === "elsewhere") this.send(response, answer(421, elsewhereAnswer(a.member)));
+      const a = this.member.handleReport(report);
+      if (a.kind === "taken") this.send(response, answer(200, reportAnswer(a.token, a.halts)));
+      else if (a.kind === "elsewhere") this.send(response, answer(421, redirectAnswer(a.member)));
       else this.send(response, unsure("not entitled"));
     });
   }
--- a/src/service/mirror.ts
+++ b/src/service/job-cache.ts
@@ -9,7 +9,7 @@
 import type { Log } from "../io/log.js";
 import type { StateClient } from "../io/state-client.js";
 
-export interface MirroredJob {
+export interface CachedJob {
   readonly spec: JobSpec;
   readonly stamp: number;
   /** About when it was accepted, and when the last job that it needs was done, on this node's steady clock. */
@@ -34,8 +34,8 @@
 const GATHER = Duration.millis(500);
 const LEADERS_GATHER = Duration.millis(150);
 
-export class Mirror {
-  readonly jobs = new Map<string, MirroredJob>();
+export class JobCache {
+  readonly jobs = new Map<string, CachedJob>();
   /** Jobs that wait for others, and the fan-in sets of these and of those released since. */
   readonly waiting = new Map<string, WaitingJob>();
   readonly fanins = new Map<string, Fanin>();
@@ -47,7 +47,7 @@
   /** When the last request was sent whose answer showed every job that had ended by then. */
   read: Instant | null = null;
   leading: () => boolean = () => false;
-  onJob: (job: MirroredJob) => void = () => undefined;
+  onJob: (job: CachedJob) => void = () => undefined;
   onOver: (id: string) => void = () => undefined;
   onWaiting: (job: WaitingJob) => void = () => undefined;
   /** It waits no longer: it was released, and then is among `jobs`, or cancelled. */
@@ -71,7 +71,7 @@
   }
 
   /** A job record that was read. */
-  put(key: string, value: unknown, stamp: number): MirroredJob | "over" | "malformed" {
+  put(key: string, value: unknown, stamp: number): CachedJob | "over" | "malformed" {
     const id = key.slice(keys.jobs.length);
     const known = this.jobs.get(id);
     if (known !== undefined) return known;
@@ -92,7 +92,7 @@
   }
 
   /** A waiting job's record that was read. */
-  putWaiting(key: string, value: unknown, stamp: number): WaitingJob | MirroredJob | "over" | "malformed" {
+  putWaiting(key: string, value: unknown, stamp: number): WaitingJob | CachedJob | "over" | "malformed" {
     const id = key.slice(keys.waitings.length);
     const known = this.waiting.get(id) ?? this.jobs.get(id);
     if (known !== undefined) return known;
--- a/src/service/releases.ts
+++ b/src/service/job-releaser.ts
@@ -14,9 +14,9 @@
 import { releasedRecord } from "../io/codec.js";
 import type { Log } from "../io/log.js";
 import type { StateClient } from "../io/state-client.js";
-import type { Fanin, Mirror } from "./mirror.js";
-import { Refusals } from "./refusals.js";
-import { OWN_TURN } from "./own-turn.js";
+import type { Fanin, JobCache } from "./job-cache.js";
+import { RejectionBackoff } from "./rejection-backoff.js";
+import { LEADER_WRITE_TIMEOUT } from "./leader-write-timeout.js";
 import { Signal } from "./signal.js";
 import type { Status } from "./status.js";
 
@@ -24,7 +24,7 @@
 const LOOK_AT_ALL_EVERY = Duration.seconds(5);
 const AT_ONCE = 4;
 
-export class Releases {
+export class JobReleaser {
   private readonly changed = new Set<string>();
   /** Those with a join that the state service didn't take: looked at again after a moment. */
   private readonly delayed = new Set<string>();
@@ -33,15 +33,15 @@
   private running = false;
   /** Sets that the state service refused to have written, and until when that isn't tried again. */
   private readonly refusedUntil = new Map<string, Instant>();
-  private readonly refusals: Refusals;
+  private readonly refusals: RejectionBackoff;
 
   constructor(
     private readonly state: StateClient,
-    private readonly mirror: Mirror,
+    private readonly mirror: JobCache,
     private readonly status: Status,
     private readonly log: Log,
   ) {
-    this.refusals = new Refusals(log);
+    this.refusals = new RejectionBackoff(log);
   }
 
   /** A waiting job was heard of. */
@@ -162,7 +162,7 @@
           ...(fanin.released ? [{ put: keys.job(id), value: released }, { delete: keys.waiting(id) }] : []),
         ],
         "first",
-        OWN_TURN,
+        LEADER_WRITE_TIMEOUT,
       );
       if (result.ok === null) {
         // the same add would be refused again: ever longer pauses
--- a/src/service/own-turn.ts
+++ b/src/service/leader-write-timeout.ts
@@ -1,4 +1,4 @@
 import * as Duration from "effect/Duration";
 
 /** After refusals the leader's own changes wait in line: an attempt that gives up soon only comes again, out of turn. */
-export const OWN_TURN = Duration.seconds(10);
+export const LEADER_WRITE_TIMEOUT = Duration.seconds(10);
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -27,16 +27,16 @@
 import type { Log } from "../io/log.js";
 import type { Delivery, Progress, Sync, SyncAnswer } from "../io/peer-codec.js";
 import type { StateClient } from "../io/state-client.js";
-import { Blocks, opsOf } from "./blocks.js";
-import { Guarded } from "./guarded.js";
+import { MachineRecordStore, opsOf } from "./machine-record-store.js";
+import { Locked } from "./locked.js";
 import { collect } from "./mailbox.js";
 import type { Member } from "./member.js";
 import type { Leadership, Membership } from "./membership.js";
-import type { Mirror, MirroredJob, WaitingJob } from "./mirror.js";
-import { OWN_TURN } from "./own-turn.js";
+import type { JobCache, CachedJob, WaitingJob } from "./job-cache.js";
+import { LEADER_WRITE_TIMEOUT } from "./leader-write-timeout.js";
 import type { Peers } from "./peers.js";
-import type { Releases } from "./releases.js";
-import { Refusals } from "./refusals.js";
+import type { JobReleaser } from "./job-releaser.js";
+import { RejectionBackoff } from "./rejection-backoff.js";
 import { Signal } from "./signal.js";
 
 export interface LeaderOptions {
@@ -82,12 +82,12 @@
   r.tasks.map((t) => `${t.job}/${t.index} ${t.state}${t.why === null ? "" : ` ${t.why}`}`).join(", ");
 
 export class Leader {
-  private guarded: Guarded<Scheduler> | null = null;
+  private guarded: Locked<Scheduler> | null = null;
   /** Jobs written up to this revision are in what was reread; later ones come from the mirror. */
   private reread = 0;
   private readonly stepNow = new Signal();
   private readonly records: { id: string; record: MachineRecord }[] = [];
-  private blocks = new Blocks();
+  private blocks = new MachineRecordStore();
   /** Keys that are of no more use; and when the ranges were last looked through for such. */
   private readonly useless = new Set<string>();
   private rangesListed: Instant = now();
@@ -101,7 +101,7 @@
   private fibers: Fiber.RuntimeFiber<unknown, unknown>[] = [];
   private members = new Map<string, { at: Instant; ok: boolean }>();
   private readonly zones = new ZoneWatch();
-  private readonly refusals: Refusals;
+  private readonly refusals: RejectionBackoff;
   /** What one value may hold; a record of machines, which comes down when one is refused; changes of one sweep. */
   private readonly valueBytes: number;
   private blockBytes: number;
@@ -114,16 +114,16 @@
     private readonly options: LeaderOptions,
     private readonly membership: Membership,
     private readonly member: Member,
-    private readonly mirror: Mirror,
+    private readonly mirror: JobCache,
     private readonly state: StateClient,
     private readonly cloud: CloudClient,
     private readonly peers: Peers,
-    private readonly releases: Releases,
+    private readonly releases: JobReleaser,
     private readonly log: Log,
   ) {
     mirror.onWaiting = (job) => this.waitingSeen(job);
     mirror.onWaitingOver = (id) => this.guarded?.with((s) => s.waitingOver(id));
-    this.refusals = new Refusals(log);
+    this.refusals = new RejectionBackoff(log);
     this.valueBytes = valueBytes(options.valueKb);
     this.blockBytes = this.valueBytes;
     this.sweepOps = options.txnOps;
@@ -133,7 +133,7 @@
     membership.onLost = () => this.stop();
   }
 
-  private jobSeen(job: MirroredJob): void {
+  private jobSeen(job: CachedJob): void {
     if (this.guarded === null || job.stamp <= this.reread) return;
     this.guarded.with((s) => s.jobSeen(job.spec, job.stamp, job.accepted, job.released));
     this.stepNow.poke();
@@ -248,7 +248,7 @@
     const scheduler = new Scheduler(this.options, term, leadership.stamp, began, this.zones);
     this.progress = new ProgressLog();
     scheduler.cluster.progressed = (job) => this.progress.changed(job.spec.id);
-    this.blocks = new Blocks();
+    this.blocks = new MachineRecordStore();
     for (const row of machines.rows) {
       const record = (row.value as MachinesRecord).machines;
       this.blocks.add(row.key, record);
@@ -270,7 +270,7 @@
       if (job.stamp > jobs.revision) scheduler.jobSeen(job.spec, job.stamp, job.accepted, job.released);
     for (const job of this.mirror.waiting.values()) scheduler.waitingSeen(job.spec, job.accepted);
     for (const id of [...scheduler.cluster.jobs.keys()]) if (!this.mirror.jobs.has(id)) scheduler.jobOver(id);
-    this.guarded = new Guarded(scheduler);
+    this.guarded = new Locked(scheduler);
     this.state.setLeading(true);
     this.member.localLeader = this.sync;
     this.log.info(
@@ -459,7 +459,7 @@
           ...(this.mirror.fanins.has(id) ? [{ delete: keys.fanin(id) }] : []),
         ],
         "first",
-        OWN_TURN,
+        LEADER_WRITE_TIMEOUT,
       );
       if (result.ok === null) yield* Effect.sleep(this.refusals.refused("commit of a job", result.error, id));
       else this.refusals.accepted("commit of a job", id);
--- a/src/service/guarded.ts
+++ b/src/service/locked.ts
@@ -3,7 +3,7 @@
  * nothing else runs until it returns, and being synchronous it can't be held over I/O. A semaphore (effect's)
  * would add a queue for no gain on a quarter of a core; see docs/design.md.
  */
-export class Guarded<S> {
+export class Locked<S> {
   constructor(private state: S) {}
 
   /** Reads or changes the state in one section. */
--- a/src/service/blocks.ts
+++ b/src/service/machine-record-store.ts
@@ -58,7 +58,7 @@
   r.pieces.reduce((sum, p) => sum + jsonBytes(p), 0) +
   250;
 
-export class Blocks {
+export class MachineRecordStore {
   private readonly blocks = new Map<string, Block>();
   private readonly byMachine = new Map<string, string[]>();
   private readonly dirty = new Set<string>();
@@ -92,7 +92,7 @@
     if (block !== undefined) block.putOff = until;
   }
 
-  /** Blocks to be written anew in up to `most` changes, empty ones first: they cost the least. */
+  /** Records to be written anew in up to `most` changes, empty ones first: they cost the least. */
   changed(most: number, room?: Room, at?: Instant): Rewrite[] {
     const candidates: Rewrite[] = [];
     for (const key of this.dirty) {
--- a/src/service/member.ts
+++ b/src/service/member.ts
@@ -4,7 +4,7 @@
 import type { WorkerReport } from "../core/records.js";
 import { TXN_BYTES, valueBytes } from "../core/packing.js";
 import { keys, type TermRecord } from "../core/records.js";
-import { type BeatAnswer, Part, type Writing } from "../core/part.js";
+import { type ReportAnswer, WorkerPartition, type Writing } from "../core/worker-partition.js";
 import { type Instant, passed } from "../core/time.js";
 import { now } from "../io/clock.js";
 import type { Change, Condition } from "../io/codec.js";
@@ -15,7 +15,7 @@
 import { type PieceLimits, pieceLimits, post } from "./mailbox.js";
 import type { Membership } from "./membership.js";
 import type { Peers } from "./peers.js";
-import { Refusals } from "./refusals.js";
+import { RejectionBackoff } from "./rejection-backoff.js";
 import { Signal } from "./signal.js";
 
 /** Bytes of one ranges record; with its key, a condition and names it needs so much more of a transaction. */
@@ -45,7 +45,7 @@
 }
 
 export class Member {
-  readonly part: Part;
+  readonly part: WorkerPartition;
   private readonly syncNow = new Signal();
   private mark = -1;
   private version = -1;
@@ -54,7 +54,7 @@
   private posted: Instant | null = null;
   private pruned: Instant = now();
   private readonly pieces: PieceLimits;
-  private readonly refusals: Refusals;
+  private readonly refusals: RejectionBackoff;
   /** How much goes into one post and one transaction of finishes: less once that was too large. */
   private postReports = POST_REPORTS;
   private postPause = POST_EVERY;
@@ -80,10 +80,10 @@
     private readonly log: Log,
   ) {
     const { valueKb, txnOps } = options;
-    this.part = new Part(options.me, rangesBytes(valueKb, txnOps), STORE_GATHER);
+    this.part = new WorkerPartition(options.me, rangesBytes(valueKb, txnOps), STORE_GATHER);
     this.pieces = pieceLimits(valueKb, txnOps);
     this.storePuts = txnOps;
-    this.refusals = new Refusals(log);
+    this.refusals = new RejectionBackoff(log);
   }
 
   /** Whether this node reaches the state service. */
@@ -91,9 +91,9 @@
     return this.state.failingSince === null;
   }
 
-  beat(r: WorkerReport): BeatAnswer {
+  handleReport(r: WorkerReport): ReportAnswer {
     const { incarnation } = this.membership;
-    const answer = this.part.beat(r, this.membership.mayAnswer(), incarnation, now(), this.isOver);
+    const answer = this.part.handleReport(r, this.membership.mayAnswer(), incarnation, now(), this.isOver);
     if (answer.kind === "taken") this.wake();
     return answer;
   }
--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -14,7 +14,7 @@
 import type { Row } from "../io/codec.js";
 import type { Log } from "../io/log.js";
 import type { CommitResult, StateClient } from "../io/state-client.js";
-import { Refusals } from "./refusals.js";
+import { RejectionBackoff } from "./rejection-backoff.js";
 import { Signal } from "./signal.js";
 
 export interface Leadership {
@@ -40,7 +40,7 @@
   /** The revision up to which `rows` miss nothing. */
   private watched = 0;
   private readonly renewNow = new Signal();
-  private readonly refusals: Refusals;
+  private readonly refusals: RejectionBackoff;
   readonly changed = new Signal();
   onTerm: (term: TermRecord) => void = () => undefined;
   onLost: () => void = () => undefined;
@@ -56,7 +56,7 @@
     /** When the last read that showed every ended job was sent. */
     private readonly read: () => Instant | null,
   ) {
-    this.refusals = new Refusals(log);
+    this.refusals = new RejectionBackoff(log);
   }
 
   /** A refused record isn't sent again at once, whoever asks for it. */
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -11,9 +11,9 @@
 import { Leader } from "./leader.js";
 import { Member } from "./member.js";
 import { Membership } from "./membership.js";
-import { Mirror } from "./mirror.js";
+import { JobCache } from "./job-cache.js";
 import { Peers, servePeers } from "./peers.js";
-import { Releases } from "./releases.js";
+import { JobReleaser } from "./job-releaser.js";
 import { Status } from "./status.js";
 
 /**
@@ -36,7 +36,7 @@
     state.setLeading(false);
     const cloud = new CloudClient(settings.cloud, settings.cloudLimits.rps);
     const peers = new Peers(settings.peers);
-    const mirror = new Mirror(
+    const mirror = new JobCache(
       state,
       log,
       Duration.min(Duration.seconds(2), Duration.times(spans.informed, 0.2)),
@@ -70,7 +70,7 @@
       log,
     );
     const status = new Status(state, mirror, settings.stateLimits.txnOps * 4, log);
-    const releases = new Releases(state, mirror, status, log);
+    const releases = new JobReleaser(state, mirror, status, log);
     const leader = new Leader(
       {
         me: settings.member,
--- a/src/service/refusals.ts
+++ b/src/service/rejection-backoff.ts
@@ -7,7 +7,7 @@
 
 const LOG_EVERY = Duration.seconds(10);
 
-export class Refusals {
+export class RejectionBackoff {
   private readonly backoffs = new Map<string, Backoff>();
   private readonly logged = new Map<string, Instant>();
 
--- a/src/service/status.ts
+++ b/src/service/status.ts
@@ -11,8 +11,8 @@
 import type { Condition } from "../io/codec.js";
 import type { Log } from "../io/log.js";
 import { type StateClient, type StateError, Unavailable } from "../io/state-client.js";
-import type { Mirror } from "./mirror.js";
-import { Refusals } from "./refusals.js";
+import type { JobCache } from "./job-cache.js";
+import { RejectionBackoff } from "./rejection-backoff.js";
 
 export type Standing =
   | { readonly kind: "final"; readonly commit: CommitRecord }
@@ -47,15 +47,15 @@
   private order = 0;
   /** Waiting jobs whose cancel the state service refused, and until when it isn't tried again. */
   private readonly refusedUntil = new Map<string, Instant>();
-  private readonly refusals: Refusals;
+  private readonly refusals: RejectionBackoff;
 
   constructor(
     private readonly state: StateClient,
-    private readonly mirror: Mirror,
+    private readonly mirror: JobCache,
     private readonly conditions: number,
     log: Log,
   ) {
-    this.refusals = new Refusals(log);
+    this.refusals = new RejectionBackoff(log);
   }
 
   /** A job's outcome, if it is known here. */
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -5,8 +5,8 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { hopeless } from "../src/core/admission.js";
 import { ProgressLog } from "../src/core/progress.js";
-import { Budget } from "../src/core/budget.js";
-import { Part } from "../src/core/part.js";
+import { RateLimiter } from "../src/core/rate-limiter.js";
+import { WorkerPartition } from "../src/core/worker-partition.js";
 import { RangeSet, windows } from "../src/core/ranges.js";
 import type { TermRecord, WorkerReport } from "../src/core/records.js";
 import {
@@ -21,7 +21,7 @@
 import { instant } from "../src/core/time.js";
 import { parseReport, parseSubmission, readJob } from "../src/io/codec.js";
 import { deliveredCodec, syncCodec } from "../src/io/peer-codec.js";
-import { Blocks } from "../src/service/blocks.js";
+import { MachineRecordStore } from "../src/service/machine-record-store.js";
 import { fromPieces, pieceLimits, toPieces } from "../src/service/mailbox.js";
 import { TEAMS, TYPES } from "./model.js";
 
@@ -119,8 +119,8 @@
   assert.equal(wordOfAll([], new Map()), null);
 });
 
-const newPart = (member: string): Part => {
-  const part = new Part(member, 1000, Duration.seconds(4));
+const newPart = (member: string): WorkerPartition => {
+  const part = new WorkerPartition(member, 1000, Duration.seconds(4));
   part.setTerm(term);
   return part;
 };
@@ -128,22 +128,22 @@
 test("a worker is sent to its part's member once, and taken in when it comes back", () => {
   const part = newPart("a");
   const at = (ms: number, entitledNow: boolean) =>
-    part.beat(report({ seq: ms }), entitledNow, 1, instant(ms));
+    part.handleReport(report({ seq: ms }), entitledNow, 1, instant(ms));
   assert.deepEqual(at(1, false), { kind: "unsure" });
   assert.deepEqual(at(2, true), { kind: "elsewhere", member: "b" });
   assert.deepEqual(at(3, true), { kind: "taken", token: tokenOf(4), halts: [] });
   part.setTerm({ ...term, token: 5 });
   assert.deepEqual(at(4, true), { kind: "elsewhere", member: "b" });
   // another process of the same name is not that member
-  assert.deepEqual(part.beat(report({}), true, 9, instant(5)), { kind: "unsure" });
+  assert.deepEqual(part.handleReport(report({}), true, 9, instant(5)), { kind: "unsure" });
 });
 
 test("a worker whose token the leader raised is answered with it: a lower one would be dropped", () => {
   const part = newPart("b");
-  const beat = (token: number) => part.beat(report({ token }), true, 2, instant(1));
-  assert.deepEqual(beat(tokenOf(4, 3)), { kind: "taken", token: tokenOf(4, 3), halts: [] });
-  assert.deepEqual(beat(tokenOf(3, 9)), { kind: "taken", token: tokenOf(4), halts: [] });
-  assert.deepEqual(beat(tokenOf(5)), { kind: "taken", token: tokenOf(4), halts: [] });
+  const handleReport = (token: number) => part.handleReport(report({ token }), true, 2, instant(1));
+  assert.deepEqual(handleReport(tokenOf(4, 3)), { kind: "taken", token: tokenOf(4, 3), halts: [] });
+  assert.deepEqual(handleReport(tokenOf(3, 9)), { kind: "taken", token: tokenOf(4), halts: [] });
+  assert.deepEqual(handleReport(tokenOf(5)), { kind: "taken", token: tokenOf(4), halts: [] });
 });
 
 test("whoever answers a worker tells it to stop the tasks of jobs that are over", () => {
@@ -156,25 +156,25 @@
     why: null,
   });
   const tasks = [task("req-1", "running"), task("req-2", "running"), task("req-1", "exited")];
-  const answer = part.beat(report({ tasks }), true, 2, instant(1), (job) => job === "req-1");
+  const answer = part.handleReport(report({ tasks }), true, 2, instant(1), (job) => job === "req-1");
   assert.ok(answer.kind === "taken");
   assert.deepEqual(answer.halts, [{ op: "stop", job: "req-1", index: 0, attempt: 7, graceS: 0 }]);
 });
 
 test("news are changes alone, and all of it again for another leader", () => {
   const part = newPart("b");
-  const beat = (seq: number, ms: number) => part.beat(report({ seq }), true, 2, instant(ms));
-  beat(5, 1000);
+  const handleReport = (seq: number, ms: number) => part.handleReport(report({ seq }), true, 2, instant(ms));
+  handleReport(5, 1000);
   const first = part.news(instant(1000));
   assert.deepEqual([first.reports.length, first.seen.length], [1, 1]);
   assert.deepEqual(part.news(instant(1000)), { reports: [], seen: [], stored: [], outcomes: [] });
-  beat(6, 2000);
+  handleReport(6, 2000);
   // nothing new in it: only that it was heard and answered
   const second = part.news(instant(2500));
   assert.deepEqual(second.reports, []);
   assert.deepEqual(second.seen, [{ machine: "n-1", answeredMs: 500, heardMs: 500 }]);
   // a late copy is answered, which the proof by time must know, but it is no sign of life
-  beat(3, 9000);
+  handleReport(3, 9000);
   assert.deepEqual(part.news(instant(9000)).seen, [{ machine: "n-1", answeredMs: 0, heardMs: 7000 }]);
   part.ordersDone(7, "done", null, instant(9000));
   const lost = part.news(instant(9000));
@@ -237,7 +237,7 @@
 });
 
 test("a budget keeps its rate, and lets the urgent through", () => {
-  const budget = new Budget(10, 10);
+  const budget = new RateLimiter(10, 10);
   let now = 0;
   let taken = 0;
   while (now < 10_000) {
@@ -369,7 +369,7 @@
 
 test("blocks of machines only get smaller, and the last machine takes its block along", () => {
   const record = { type: "small", zone: "east", spot: false, addr: "x" };
-  const blocks = new Blocks();
+  const blocks = new MachineRecordStore();
   blocks.add("machines/1-1", { a: record, b: record });
   blocks.add("machines/1-2", { c: record });
   // an open that got no answer is tried again: the machine is in two blocks
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -6,7 +6,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { Backoff } from "../src/core/backoff.js";
 import { jsonBytes, pack, TXN_BYTES, valueBytes } from "../src/core/packing.js";
-import { Part } from "../src/core/part.js";
+import { WorkerPartition } from "../src/core/worker-partition.js";
 import { windows } from "../src/core/ranges.js";
 import type {
   CommitRecord,
@@ -20,7 +20,7 @@
 import { tokenOf } from "../src/core/term.js";
 import { instant } from "../src/core/time.js";
 import { type Change, type Condition, jobRecord, parseSubmission, state } from "../src/io/codec.js";
-import { Blocks, opsOf, type Room } from "../src/service/blocks.js";
+import { MachineRecordStore, opsOf, type Room } from "../src/service/machine-record-store.js";
 import { fromPieces, pieceLimits, toPieces } from "../src/service/mailbox.js";
 import { rangesBytes } from "../src/service/member.js";
 
@@ -129,8 +129,10 @@
   assert.equal(pack([machine(1), machine(2)], 10).length, 2);
 });
 
-const newsOf = (count: number): { part: Part; report: (n: number, seq: number) => WorkerReport } => {
-  const part = new Part("a", 1000, Duration.seconds(4));
+const newsOf = (
+  count: number,
+): { part: WorkerPartition; report: (n: number, seq: number) => WorkerReport } => {
+  const part = new WorkerPartition("a", 1000, Duration.seconds(4));
   part.setTerm({ token: 1, key: 1, leader: "b", members: [{ name: "a", incarnation: 1, zone: "east" }] });
   const report = (n: number, seq: number): WorkerReport => ({
     machine: `n-${n}`,
@@ -150,7 +152,7 @@
       why: null,
     })),
   });
-  for (let n = 0; n < count; n++) part.beat(report(n, 1), true, 1, instant(n));
+  for (let n = 0; n < count; n++) part.handleReport(report(n, 1), true, 1, instant(n));
   return { part, report };
 };
 
@@ -237,7 +239,7 @@
 });
 
 test("a record of machines that was refused by itself gives way to the others for a while", () => {
-  const blocks = new Blocks();
+  const blocks = new MachineRecordStore();
   for (const key of ["machines/1", "machines/2"]) {
     blocks.add(key, Object.fromEntries([machine(1), machine(2)]));
   }
@@ -275,7 +277,7 @@
     const store = new Map<string, readonly string[]>();
     const live = new Set<string>();
     const sent: Txn[] = [];
-    const blocks = new Blocks();
+    const blocks = new MachineRecordStore();
     const limits = [
       { valueKb: 2, txnOps: 5 },
       { valueKb: 2, txnOps: 6 },
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -10,7 +10,7 @@
 import { makeLog } from "../src/io/log.js";
 import { StateClient, Unavailable } from "../src/io/state-client.js";
 import { Membership } from "../src/service/membership.js";
-import { Mirror } from "../src/service/mirror.js";
+import { JobCache } from "../src/service/job-cache.js";
 import { Status } from "../src/service/status.js";
 import { StateStandIn } from "./standins.js";
 
@@ -100,7 +100,7 @@
     },
   } as unknown as StateClient;
   // four conditions make batches of two
-  const status = new Status(fake, new Mirror(fake, log), 4, log);
+  const status = new Status(fake, new JobCache(fake, log), 4, log);
   const ask = (...ids: string[]) =>
     Effect.runPromise(
       Effect.forEach(ids, (id) => Effect.either(status.of(id)), { concurrency: "unbounded" }),
@@ -139,7 +139,7 @@
     ...{ ref, roster: "maps", crew: "red", shape: "array", urgency: "normal", chores: 2, vcpus: 1 },
     ...{ mem_gb: 1, bundle: "img", image_gb: 1, awaits },
   });
-  const mirror = new Mirror(fake, log);
+  const mirror = new JobCache(fake, log);
   const mirrors = [mirror];
   const stored = (key: string) =>
     mirrors
@@ -168,7 +168,7 @@
     JSON.stringify(compared),
   );
   // nor does it matter what this node has heard of the jobs in between
-  const partly = new Mirror(fake, log);
+  const partly = new JobCache(fake, log);
   mirrors.push(partly);
   partly.putWaiting(keys.waiting("req-8"), record("req-8", ["req-3"]), 1);
   commits.delete("commit/req-4");
@@ -207,7 +207,7 @@
         return value === undefined ? null : { key, value, stamp: 1 };
       }),
   } as unknown as StateClient;
-  return { rows, fake, mirror: new Mirror(fake, log) };
+  return { rows, fake, mirror: new JobCache(fake, log) };
 };
 const CANCELLED = { outcome: "cancelled", tasks: 2 };
 const CHAIN = { "req-2": ["req-1"], "req-3": ["req-2"], "req-4": ["req-3"] };
@@ -215,7 +215,7 @@
 test("a passed-on cancel that is refused comes again after growing pauses, however often it is asked for", async () => {
   const refuses = (written: readonly string[]): boolean => written.includes(keys.commit("req-77"));
   standIn.refuses.add(refuses);
-  const status = new Status(state, new Mirror(state, log), 64, log);
+  const status = new Status(state, new JobCache(state, log), 64, log);
   const cancel = () => Effect.runPromise(Effect.either(status.cancelWaiting("req-77", 2)));
   const began = Date.now();
   for (let i = 0; i < 20; i++) assert.equal((await cancel())._tag, "Left");
--- a/test/model.ts
+++ b/test/model.ts
@@ -16,7 +16,7 @@
   type TermRecord,
   type WorkerReport,
 } from "../src/core/records.js";
-import { type BeatAnswer, Part } from "../src/core/part.js";
+import { type ReportAnswer, WorkerPartition } from "../src/core/worker-partition.js";
 import { RangeSet } from "../src/core/ranges.js";
 import { setMachine } from "../src/core/cluster.js";
 import { type Decision, type OrderOutcome, Scheduler } from "../src/core/scheduler.js";
@@ -133,7 +133,7 @@
   alive: boolean;
   back: number;
   incarnation: number;
-  part: Part;
+  part: WorkerPartition;
   confirmed: Instant | null;
   /** The unfinished jobs as last read from the state service, when that was asked for, and up to which revision. */
   read: Instant | null;
@@ -284,7 +284,7 @@
       alive: true,
       back: 0,
       incarnation: 0,
-      part: new Part(name, 400, Duration.millis(300)),
+      part: new WorkerPartition(name, 400, Duration.millis(300)),
       confirmed: null,
       read: null,
       known: new Map(),
@@ -657,7 +657,7 @@
       this.messages.push({
         at: late,
         run: this.on(to, () => {
-          if (to.alive) this.beat(to, report);
+          if (to.alive) this.handleReport(to, report);
         }),
       });
     }
@@ -673,7 +673,7 @@
           w.node++;
           return;
         }
-        const answer = this.beat(node, report);
+        const answer = this.handleReport(node, report);
         if (answer.kind === "elsewhere") w.node = this.nodes.findIndex((n) => n.name === answer.member);
         else if (answer.kind === "unsure") w.node++;
         if (answer.kind !== "taken") return;
@@ -728,7 +728,10 @@
       if (this.isOutlived(report)) this.count("copies with an earlier attempt");
       // without the guard the copy counts as new
       const believed = this.without === (earlier ? "session" : "seq");
-      this.beat(node, believed ? { ...report, session: w.session, seq: ++w.seq, token: w.token } : report);
+      this.handleReport(
+        node,
+        believed ? { ...report, session: w.session, seq: ++w.seq, token: w.token } : report,
+      );
     });
     this.messages.push({ at, run });
   }
@@ -746,12 +749,12 @@
   }
 
   /** What a node was told by the state service, it knows for as long as it lives. */
-  private beat(node: Node, report: WorkerReport): BeatAnswer {
+  private handleReport(node: Node, report: WorkerReport): ReportAnswer {
     const isOver = (job: string): boolean => {
       const commit = this.commits.get(job);
       return this.without !== "cancel" && commit !== undefined && commit.at < (node.read ?? -1);
     };
-    return node.part.beat(report, this.mayAnswer(node), node.incarnation, instant(this.now), isOver);
+    return node.part.handleReport(report, this.mayAnswer(node), node.incarnation, instant(this.now), isOver);
   }
 
   private execute(w: Worker, token: number, session: number, orders: readonly Order[]): boolean {
--- a/test/rates.test.ts
+++ b/test/rates.test.ts
@@ -1,16 +1,16 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import * as Duration from "effect/Duration";
-import { Budget } from "../src/core/budget.js";
-import { Rates } from "../src/core/rates.js";
+import { RateLimiter } from "../src/core/rate-limiter.js";
+import { RateLimitSelector } from "../src/core/rate-limit-selector.js";
 import { instant } from "../src/core/time.js";
 
 /** A state service whose rate of changes falls, and nodes that want to write more than it ever takes. */
 const simulate = (spanS: number, fallS: number, lowered: boolean) => {
   const rates = { rps: 100, writeRps: 25 };
   const nodes = Array.from({ length: 3 }, () => {
-    const own = new Rates(rates, { rps: 100, writeRps: 18 });
-    return { rates: own, budget: new Budget(rates.writeRps / 3), rate: rates.writeRps, next: 0 };
+    const own = new RateLimitSelector(rates, { rps: 100, writeRps: 18 });
+    return { rates: own, budget: new RateLimiter(rates.writeRps / 3), rate: rates.writeRps, next: 0 };
   });
   let served = 0;
   let tokens = 25;
@@ -52,8 +52,8 @@
 });
 
 test("urgent changes that are each tried again until they succeed are no storm of refusals either", () => {
-  const rates = new Rates({ rps: 100, writeRps: 25 }, { rps: 100, writeRps: 18 });
-  const budget = new Budget(25);
+  const rates = new RateLimitSelector({ rps: 100, writeRps: 25 }, { rps: 100, writeRps: 18 });
+  const budget = new RateLimiter(25);
   let rate = 25;
   let tokens = 25;
   let refused = 0;
@@ -102,7 +102,7 @@
 
 test("the lower rates stay for a minute, and for longer when a refusal follows soon", () => {
   const low = { rps: 80, writeRps: 18 };
-  const rates = new Rates({ rps: 100, writeRps: 25 }, low);
+  const rates = new RateLimitSelector({ rps: 100, writeRps: 25 }, low);
   const lowAt = (s: number): boolean => rates.at(instant(s * 1000)).writeRps === 18;
   const refused = (s: number): void => rates.refused(instant(s * 1000));
   assert.equal(lowAt(0), false);
@@ -124,7 +124,10 @@
 
 test("without lower rates to come nothing changes", () => {
   const today = { rps: 100, writeRps: 25 };
-  for (const rates of [new Rates(today), new Rates(today, { rps: 200, writeRps: 25 })]) {
+  for (const rates of [
+    new RateLimitSelector(today),
+    new RateLimitSelector(today, { rps: 200, writeRps: 25 }),
+  ]) {
     rates.refused(instant(0));
     assert.deepEqual(rates.at(instant(1)), today);
   }
--- a/test/releases.test.ts
+++ b/test/releases.test.ts
@@ -27,7 +27,7 @@
   releasedRecord,
 } from "../src/io/codec.js";
 import * as peerCodec from "../src/io/peer-codec.js";
-import { Blocks } from "../src/service/blocks.js";
+import { MachineRecordStore } from "../src/service/machine-record-store.js";
 import { fromPieces } from "../src/service/mailbox.js";
 import { CloudStandIn, StateStandIn } from "./standins.js";
 
@@ -203,7 +203,7 @@
   for (const { key, value } of of("machines/")) {
     const machines = value["machines"] as Record<string, MachineRecord>;
     const [first, ...rest] = Object.keys(machines);
-    const blocks = new Blocks();
+    const blocks = new MachineRecordStore();
     blocks.add(key, machines);
     blocks.remove(first!);
     const left = rest.length === 0 ? null : Object.fromEntries(rest.map((id) => [id, machines[id]!]));
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -286,7 +286,7 @@
   }
 
   begin(): void {
-    this.timer = setInterval(() => void this.beat(), 100);
+    this.timer = setInterval(() => void this.handleReport(), 100);
   }
   override stop(): void {
     if (this.timer !== null) clearInterval(this.timer);
@@ -308,7 +308,7 @@
     };
   }
 
-  private async beat(): Promise<void> {
+  private async handleReport(): Promise<void> {
     try {
       const response = await fetch(`http://${this.front()}/agent/beat`, {
         method: "POST",
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -14,7 +14,7 @@
 import { Ajv, type ValidateFunction } from "ajv";
 import avro from "avsc";
 import * as Duration from "effect/Duration";
-import { Part } from "../src/core/part.js";
+import { WorkerPartition } from "../src/core/worker-partition.js";
 import { RangeSet } from "../src/core/ranges.js";
 import {
   type CommitRecord,
@@ -45,7 +45,7 @@
   wordAnswerCodec,
   wordCodec,
 } from "../src/io/peer-codec.js";
-import { Blocks } from "../src/service/blocks.js";
+import { MachineRecordStore } from "../src/service/machine-record-store.js";
 import { fromPieces, pieceLimits, toPieces } from "../src/service/mailbox.js";
 import { CloudStandIn, StateStandIn } from "./standins.js";
 
@@ -147,7 +147,7 @@
     assert.deepEqual(RangeSet.of(value.ranges).ranges(), value.ranges);
   }
   for (const { key, value } of of<MachinesRecord>(keys.machines)) {
-    const blocks = new Blocks();
+    const blocks = new MachineRecordStore();
     blocks.add(key, value.machines);
     const [first, ...rest] = Object.keys(value.machines);
     blocks.remove(first!);
@@ -248,7 +248,7 @@
 });
 
 test("ranges and records of machines of this version, also split ones, are read by production", () => {
-  const part = new Part("north", 100, Duration.zero);
+  const part = new WorkerPartition("north", 100, Duration.zero);
   part.take(report(40, 1), instant(0));
   for (const [seq, result] of [
     [2, "failed"],
@@ -269,7 +269,7 @@
     (a, b) => Object.keys(b.value.machines).length - Object.keys(a.value.machines).length,
   );
   const { machines } = largest!.value;
-  const blocks = new Blocks();
+  const blocks = new MachineRecordStore();
   blocks.add(largest!.key, machines);
   const [gone, ...ids] = Object.keys(machines);
   blocks.remove(gone!);
