--- a/test/model-pipelines.ts
+++ b/test/model-pipelines.ts
@@ -6,6 +6,7 @@
 import { faninStep, type ParentState, Waiters } from "../src/core/fanin.js";
 import type { JobSpec, Outcome } from "../src/core/records.js";
 import { CloseLooks, UnansweredQuestions } from "./model/users-questions.js";
+import { MixedVersions, type Version } from "./model/versions.js";
 
 export interface Row {
   readonly spec: JobSpec;
@@ -91,6 +92,7 @@
 export interface Process {
   readonly alive: boolean;
   readonly view: View;
+  readonly version: Version;
 }
 
 /** What the model of the cluster does for this part. */
@@ -115,7 +117,18 @@
   /** Since when there are no more troubles. */
   calmSince(): number | null;
   without(
-    guard: "checked" | "release" | "ancestors" | "unheard" | "overtaken" | "before" | "join" | "filling",
+    guard:
+      | "checked"
+      | "release"
+      | "ancestors"
+      | "unheard"
+      | "overtaken"
+      | "before"
+      | "join"
+      | "filling"
+      | "listed"
+      | "useless"
+      | "early",
   ): boolean;
 }
 
@@ -148,6 +161,7 @@
   private readonly answers = new Map<string, { outcome: Outcome; at: number }>();
   private nextAsk = 0;
   readonly closeLooks: CloseLooks<N>;
+  readonly versions = new MixedVersions();
   private readonly questions = new UnansweredQuestions();
 
   constructor(private readonly host: Host<N>) {
@@ -162,9 +176,13 @@
     });
   }
 
-  snapshot(revision: number): Snapshot {
-    const { waiting, fanins } = this;
-    return { jobs: new Map(this.host.jobs), waiting: new Map(waiting), fanins: new Map(fanins), revision };
+  /** What a process of this version lists. */
+  snapshot(revision: number, version: Version): Snapshot {
+    const { host, waiting, fanins } = this;
+    if (version === "new")
+      return { jobs: new Map(host.jobs), waiting: new Map(waiting), fanins: new Map(fanins), revision };
+    const jobs = new Map(host.without("listed") ? [...waiting, ...host.jobs] : host.jobs);
+    return { jobs, waiting: new Map(), fanins: new Map(), revision };
   }
 
   // --- users --------------------------------------------------------------------------------------------
@@ -182,7 +200,8 @@
     host.after(PATIENCE_MS, () => this.send(spec));
   }
   private maySend(spec: JobSpec): boolean {
-    return spec.awaits.every((p) => !this.sent.has(p) || this.accepted.has(p));
+    const isOpen = this.versions.pipelinesOpen || this.host.without("early");
+    return spec.awaits.every((p) => isOpen && (!this.sent.has(p) || this.accepted.has(p)));
   }
   private sendOnce(spec: JobSpec): void {
     this.sendTo(this.anyNode(), spec);
@@ -191,7 +210,7 @@
     this.host.after(
       this.host.delay(),
       this.host.on(node, () => {
-        if (!node.alive) return;
+        if (!this.isAsked(node)) return;
         if (node.view.isUnfinished(spec.id)) this.ask(node, spec.id);
         else this.accept(node, spec, false, 0);
       }),
@@ -205,13 +224,27 @@
     this.sendOnce(spec);
   }
   private anyNode(): N {
-    const { nodes } = this.host;
+    const nodes = this.versions.usersChoose(this.host.nodes);
     return nodes[Math.floor(this.host.draw() * nodes.length)]!;
   }
 
+  private question(node: N, id: string): void {
+    const { host } = this;
+    host.on(node, () => this.isAsked(node) && this.ask(node, id))();
+    if (!this.versions.usersTryOthers) return;
+    const next = host.nodes[(host.nodes.indexOf(node) + 1) % host.nodes.length]!;
+    host.after(PATIENCE_MS, () => this.questions.isOpen(id) && this.question(next, id));
+  }
+  /** What was sent to a process that users avoid meanwhile doesn't reach it. */
+  private isAsked(node: N): boolean {
+    return node.alive && this.versions.usersChoose([node]).length > 0;
+  }
+
   /** Users ask about everything that they weren't told the end of, and now and then about what is over. */
   step(): void {
     const { host } = this;
+    for (const id of this.accepted.keys())
+      if (!this.isKept(id)) host.broke("forgotten", `${id}: no record of it, at ${host.now()}`);
     if (host.now() < this.nextAsk || this.sent.size === 0) return;
     this.nextAsk = host.now() + ASK_EVERY_MS;
     for (const id of this.accepted.keys()) {
@@ -219,7 +252,7 @@
       const node = this.anyNode();
       host.after(host.draw() * ASK_EVERY_MS, () => {
         this.questions.asked(id, host.now());
-        host.on(node, () => node.alive && this.ask(node, id))();
+        this.question(node, id);
       });
     }
     for (const id of this.questions.forgotten(host.now(), host.calmSince()))
@@ -229,10 +262,21 @@
   isAccepted(id: string): boolean {
     return this.accepted.has(id);
   }
-  /** Jobs that were sent and not answered, that wait, or of which nothing is left: none may be at the end. */
+  private isKept(id: string): boolean {
+    return this.host.commits.has(id) || this.host.jobs.has(id) || this.waiting.has(id);
+  }
+  /** Whether all that was sent is accepted, and nothing waits: what a way back has to wait for. */
+  nothingWaits(): boolean {
+    return this.waiting.size === 0 && [...this.sent.keys()].every((id) => this.accepted.has(id));
+  }
+  /** Jobs sent and not answered, that wait, or of which nothing or the set alone is left: none may be at the end. */
   unserved(): string[] {
     const { jobs, commits } = this.host;
-    return [...this.sent.keys()].filter((id) => !this.accepted.has(id) || !(commits.has(id) || jobs.has(id)));
+    const open = [...this.sent.keys()].filter(
+      (id) => !this.accepted.has(id) || !(commits.has(id) || jobs.has(id)),
+    );
+    const leftSets = [...this.fanins.keys()].filter((id) => commits.has(id));
+    return [...open, ...this.waiting.keys(), ...leftSets];
   }
 
   /** A user was told that his job is over. */
@@ -357,7 +401,7 @@
       () => ({
         exists:
           (!host.without("checked") && ids.some((x) => host.commits.has(x))) ||
-          (!known && (host.jobs.has(id) || this.waiting.has(id))),
+          (!known && (host.jobs.has(id) || (node.version === "new" && this.waiting.has(id)))),
       }),
       (answer) => {
         if (answer === null) return then(null);
@@ -407,7 +451,7 @@
     // the commit first, then what a job is in the course of its life, one request after the other
     commit(() =>
       get(
-        () => this.waiting.get(id),
+        () => (node.version === "new" ? this.waiting.get(id) : undefined),
         (row) => {
           if (row === undefined || view.isOver(id)) return job();
           view.putWaiting(id, row);
@@ -476,7 +520,7 @@
       () => {
         if (!this.isDoomed(id)) host.broke("went_back", `${id}: cancelled with nothing at ${host.now()}`);
         host.count("cancels passed on");
-        this.cancelled(id);
+        this.cancelled(id, "new");
       },
       (ok) => {
         if (ok === null) return then(false);
@@ -486,10 +530,21 @@
       },
     );
   }
-  private cancelled(id: string): void {
+  private cancelled(id: string, by: Version): void {
     this.host.commit(id, "cancelled");
     this.waiting.delete(id);
-    this.fanins.delete(id);
+    this.deleteSet(id, by);
+  }
+  /** The earlier version knows no sets: it leaves them behind. */
+  private deleteSet(id: string, by: Version): void {
+    if (by === "new") this.fanins.delete(id);
+    else if (this.fanins.has(id)) this.versions.leftSets.add(id);
+  }
+  /** The job's record is written: once for ever. */
+  private release(id: string, row: Row): void {
+    const { host } = this;
+    if (!this.versions.released(id)) host.broke("ran_twice", `${id}: released twice, at ${host.now()}`);
+    host.jobs.set(id, row);
   }
 
   // --- submissions and cancellations (front) ------------------------------------------------------------
@@ -499,14 +554,16 @@
     const { host } = this;
     if (tries >= ACCEPT_TRIES) return;
     const asked = host.now();
-    this.parents(node, spec.awaits, stale, (parents) => {
+    const { version } = node;
+    const awaits = version === "new" ? spec.awaits : [];
+    this.parents(node, awaits, stale, (parents) => {
       if (parents === null) return this.ask(node, spec.id);
       if (parents.some((p) => p.kind === "absent"))
         return host.broke("went_back", `${spec.id}: awaits an accepted job, refused at ${host.now()}`);
       const isDone = (p: Standing): boolean => p.kind === "final" && p.outcome === "done";
-      const joined = spec.awaits.filter((_, i) => isDone(parents[i]!));
+      const joined = awaits.filter((_, i) => isDone(parents[i]!));
       const doomed = parents.some((p) => p.kind === "final" && p.outcome === "cancelled");
-      const open = spec.awaits.flatMap((id, i) => {
+      const open = awaits.flatMap((id, i) => {
         const p = parents[i]!;
         return p.kind === "open" ? [{ id, stamp: p.stamp, waiting: p.waiting }] : [];
       });
@@ -523,7 +580,8 @@
       this.transact(
         node,
         () => {
-          isNew = !host.commits.has(spec.id) && !host.jobs.has(spec.id) && !this.waiting.has(spec.id);
+          const isWaiting = version === "new" && this.waiting.has(spec.id);
+          isNew = !host.commits.has(spec.id) && !host.jobs.has(spec.id) && !isWaiting;
           if (isNew && !unchanged()) host.count("children refused as a parent went on");
           return isNew && unchanged();
         },
@@ -531,7 +589,7 @@
           const stamp = host.nextStamp();
           row.stamp = stamp;
           if (doomed) return host.commit(spec.id, "cancelled");
-          if (open.length === 0) return void host.jobs.set(spec.id, row);
+          if (open.length === 0) return this.release(spec.id, row);
           if (open.some((p) => host.commits.has(p.id)))
             host.count("children accepted while a parent committed");
           this.waiting.set(spec.id, row);
@@ -591,7 +649,7 @@
     const node = this.anyNode();
     this.host.after(
       this.host.delay(),
-      this.host.on(node, () => node.alive && this.cancelAt(node, id, 0)),
+      this.host.on(node, () => this.isAsked(node) && this.cancelAt(node, id, 0)),
     );
     this.host.after(PATIENCE_MS, () => this.cancel(id));
   }
@@ -604,12 +662,13 @@
         host.count("cancels that met the job's end");
       if (standing?.kind !== "open") return this.told(id, standing, asked);
       const { stamp, waiting } = standing;
+      const { version } = node;
       this.transact(
         node,
         () => !host.commits.has(id) && (waiting ? this.waiting : host.jobs).get(id)?.stamp === stamp,
         () => {
           host.count(waiting ? "waiting jobs called off" : "released jobs called off");
-          this.cancelled(id);
+          this.cancelled(id, version);
         },
         (ok) => {
           if (ok === false) {
@@ -636,7 +695,7 @@
     const { view } = node;
     if (ok === true) {
       this.committedBy.set(id, view);
-      this.fanins.delete(id);
+      this.deleteSet(id, node.version);
       view.finals.set(id, "done");
     }
     if (ok === true || (ok === false && this.host.commits.has(id))) view.remove(id);
@@ -646,6 +705,7 @@
   look(node: N, leadsAs: object): void {
     const { host } = this;
     const { view } = node;
+    if (node.version === "old") return this.stopLooking(node);
     if (view.leadsAs !== leadsAs) {
       view.leadsAs = leadsAs;
       view.changed.clear();
@@ -656,12 +716,22 @@
     if (view.lookedAtAll === null || host.now() - view.lookedAtAll >= LOOK_AT_ALL_MS) {
       all = true;
       view.lookedAtAll = host.now();
+      this.sweep(node);
       if (!host.without("join")) for (const id of view.waiting.keys()) view.changed.add(id);
     }
     const some = [...view.changed];
     view.changed.clear();
     for (const id of some) this.settle(node, id, all);
   }
+  /** Sets of jobs that are over: an earlier version left them, or whoever committed the job didn't know of them. */
+  private sweep(node: N): void {
+    const { host, versions } = this;
+    if (!host.reaches(node) || host.without("useless")) return;
+    for (const id of node.view.fanins.keys()) {
+      if (node.view.isUnfinished(id) || !this.fanins.delete(id)) continue;
+      if (versions.leftSets.delete(id)) host.count("sets of the earlier version deleted");
+    }
+  }
   stopLooking(node: N): void {
     node.view.leadsAs = null;
     node.view.changed.clear();
@@ -756,7 +826,7 @@
         if (!next.released) return;
         host.count("releases");
         if (host.commits.has(id)) host.broke("went_back", `${id}: over, then released at ${host.now()}`);
-        host.jobs.set(id, { ...row, stamp });
+        this.release(id, { ...row, stamp });
         this.waiting.delete(id);
       },
       (ok) => {
--- a/test/model.ts
+++ b/test/model.ts
@@ -23,6 +23,7 @@
 import { entitled, entitledByWord, informed, sameMembers, spansOf } from "../src/core/term.js";
 import { type Instant, instant, minus } from "../src/core/time.js";
 import { type Row, View, WaitingJobs } from "./model-pipelines.js";
+import type { MixedVersions, Version } from "./model/versions.js";
 
 /** A guard that a run may take out, to show that the checker notices. */
 export type Guard =
@@ -61,7 +62,15 @@
   /** Joins that were lost aren't looked for again. */
   | "join"
   /** A join isn't bound to the set, the waiting job and its commit as they were read. */
-  | "filling";
+  | "filling"
+  /** A process of the earlier version lists waiting jobs as if they were released. */
+  | "listed"
+  /** Sets that an earlier version left aren't deleted. */
+  | "useless"
+  /** Users send jobs that wait for others before all processes have the new version. */
+  | "early"
+  /** Processes go back to the earlier version while jobs wait. */
+  | "back";
 
 /** What may befall a machine for a while. */
 export type MachineTrouble = "hung" | "cut" | "deaf" | "mute";
@@ -130,6 +139,8 @@
 interface Node {
   readonly name: string;
   readonly zone: string;
+  /** The next process of this member may have another one. */
+  version: Version;
   alive: boolean;
   back: number;
   incarnation: number;
@@ -247,7 +258,7 @@
     this.extra = () => uniformFloat64(other);
     this.pipelines = this.newPipelines();
     for (const [i, zone] of ["east", "west", "east"].entries())
-      this.nodes.push(this.newNode(`node-${i}`, zone));
+      this.nodes.push({ ...this.newNode(`node-${i}`, zone), version: "new" });
     for (let i = 0; i < 3; i++)
       this.addMachine(i % 2 === 0 ? "small" : "large", i % 2 === 0 ? "east" : "west", false);
   }
@@ -277,7 +288,7 @@
     });
   }
 
-  private newNode(name: string, zone: string): Node {
+  private newNode(name: string, zone: string): Omit<Node, "version"> {
     return {
       name,
       zone,
@@ -840,6 +851,7 @@
     if (s === null || node.term?.leader !== node.name) return this.pipelines.stopLooking(node);
     this.pipelines.look(node, s);
     if (!this.entitled(node)) return;
+    this.countLeader(node, s);
     this.watchJobs(node, s);
     for (const [id, batch] of node.pending)
       if (this.now - batch.at > 6000) this.answered(node, s, id, "unknown");
@@ -852,6 +864,13 @@
     if (this.now % 500 === 0) for (const d of s.stepFleet(instant(this.now))) this.carryOut(node, s, d);
   }
 
+  /** Once for each leader that may act. */
+  private countLeader(node: Node, s: Scheduler): void {
+    const released = [...this.jobs.values()].some((job) => job.spec.awaits.length > 0);
+    const isWaiting = this.pipelines.waiting.size > 0;
+    for (const what of this.pipelines.versions.leads(s, node.version, released, isWaiting)) this.count(what);
+  }
+
   /** Renewals take a while; the fence counts from when they were sent. */
   private renew(node: Node): void {
     node.nextRenew = this.now + 700;
@@ -990,19 +1009,18 @@
     this.later(
       () => {
         if (!this.reachesState(node)) return;
-        const jobs = new Map(this.jobs);
         const { revision } = this;
         this.unread = this.unread.filter((lost) => {
           if (lost.writer === node.name) return true;
           this.count("writes read by others whose answer was lost");
           return false;
         });
-        const snapshot = this.pipelines.snapshot(revision);
+        const snapshot = this.pipelines.snapshot(revision, node.version);
         this.later(
           this.on(node, () => {
             if (node.incarnation !== incarnation || asked < (node.read ?? -1)) return;
             node.read = asked;
-            node.known = jobs;
+            node.known = snapshot.jobs;
             node.knownUpTo = revision;
             node.view.refresh(snapshot);
           }),
@@ -1124,7 +1142,7 @@
 
   private carryOut(node: Node, s: Scheduler, d: Decision): void {
     const ownKey = () => this.reachesState(node) && this.leader?.stamp === node.leaderStamp;
-    const { leaderStamp } = node;
+    const { leaderStamp, version } = node;
     if (d.kind === "orders") this.sendOrders(node, s, d);
     else if (d.kind === "commit") {
       // a job cancelled in the meantime has its commit already
@@ -1144,7 +1162,10 @@
       const wrote = this.transact(
         node,
         (late) => this.keyIs(leaderStamp, late),
-        () => this.records.set(d.machine, d.record),
+        () => {
+          this.records.set(d.machine, d.record);
+          this.count(`machines recorded by ${version} leaders`);
+        },
       );
       if (wrote === true || this.without === "record") s.recorded(d.machine, d.record, instant(this.now));
       else s.recordFailed(d.machine);
@@ -1181,7 +1202,10 @@
             this.transact(
               node,
               (late) => this.keyIs(leaderStamp, late),
-              () => ids.forEach((id) => this.records.delete(id)),
+              () => {
+                const gone = ids.filter((id) => this.records.delete(id));
+                if (gone.length > 0) this.count(`records of machines rewritten by ${version} leaders`);
+              },
             );
           }),
         );
@@ -1412,6 +1436,37 @@
       (n) => n.alive && n.scheduler !== null && n.term?.leader === n.name && this.entitled(n),
     );
   }
+  /** What users and operators keep to while versions are mixed. */
+  get versions(): MixedVersions {
+    return this.pipelines.versions;
+  }
+  /** All processes have this version, from the beginning. */
+  beginWith(version: Version): void {
+    for (const node of this.nodes) node.version = version;
+  }
+  /** A member's process ends and comes back with this version. */
+  replace(which: number, version: Version): void {
+    const node = this.nodes[which]!;
+    if (node.version === "new" && version === "old") this.count("processes that went back");
+    this.end(node, 200 + this.extra() * 3000);
+    node.version = version;
+    this.until(() => node.alive && node.term !== null, 20_000);
+  }
+  isAllNew(): boolean {
+    return this.nodes.every((n) => n.version === "new");
+  }
+  mayGoBack(): boolean {
+    return this.without === "back" || this.pipelines.nothingWaits();
+  }
+  /** Leaders end until one of this version leads; says whether one does. */
+  leadBy(version: Version): boolean {
+    for (let tries = 0; tries < 20; tries++) {
+      if (!this.until(() => this.led(), 30_000)) return false;
+      if (this.leads()?.version === version) return true;
+      this.endLeader(3500 + this.extra() * 1000);
+    }
+    return false;
+  }
   /** Whether somebody leads who can act. */
   led(): boolean {
     return this.leads() !== undefined;
--- a/test/model/users-questions.ts
+++ b/test/model/users-questions.ts
@@ -69,6 +69,10 @@
     this.answered.set(id, now);
   }
 
+  isOpen(id: string): boolean {
+    return this.open.has(id);
+  }
+
   /** The jobs that count as forgotten; `calmSince`: since when there are no more troubles. */
   forgotten(now: number, calmSince: number | null): string[] {
     const out: string[] = [];
