--- a/test/limits-service.test.ts
+++ b/test/limits-service.test.ts
@@ -1,27 +1,15 @@
 /** One whole controller over HTTP while the limits of the state service fall. */
 import assert from "node:assert/strict";
-import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtempSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import type { ChildProcess } from "node:child_process";
 import { after, before, test } from "node:test";
+import { freePort, startController, until, writeSettings } from "./controller-process.js";
 import { CloudStandIn, StateStandIn, WorkerStandIn } from "./standins.js";
 
-const MAIN = new URL("../../main.js", import.meta.url).pathname;
 const LIVE = 20;
 const LATER = { valueKb: 2, txnOps: 5 };
 /** What an earlier version wrote: twice as many machines as live, and more than a value will hold. */
 const OLD_BLOCK = "machines/0-1";
 
-const freePort = (): Promise<number> =>
-  new Promise((done) => {
-    const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      server.close(() => done(typeof address === "object" && address !== null ? address.port : 0));
-    });
-  });
 const state = new StateStandIn();
 const cloud = new CloudStandIn(() => front);
 let front = "";
@@ -50,14 +38,8 @@
   },
 });
 const start = (settings: Awaited<ReturnType<typeof platform>>): void => {
-  const config = join(mkdtempSync(join(tmpdir(), "indigowick-")), "config.json");
-  writeFileSync(config, JSON.stringify(settings));
-  children.push(
-    spawn(process.execPath, [MAIN, "--config", config], {
-      stdio: ["ignore", "ignore", "inherit"],
-      env: { ...process.env, LOG_LEVEL: "error" },
-    }),
-  );
+  const config = writeSettings(settings);
+  children.push(startController(config));
 };
 
 const ask = async (method: string, path: string, body?: unknown, at = front) => {
@@ -67,14 +49,6 @@
   });
   return { status: response.status, json: (await response.json()) as Record<string, unknown> };
 };
-/** Repeats until the answer fits; how long that takes is nobody's business here. */
-const until = async (what: string, fits: () => Promise<boolean> | boolean): Promise<void> => {
-  for (let i = 0; i < 1200; i++) {
-    if (await Promise.resolve(fits()).catch(() => false)) return;
-    await new Promise((done) => setTimeout(done, 50));
-  }
-  assert.fail(`never: ${what}`);
-};
 const job = (ref: string, more: object = {}): object => ({
   ref,
   roster: "maps",
--- a/test/releases.test.ts
+++ b/test/releases.test.ts
@@ -4,13 +4,10 @@
  * literals here, so that a rename in the code can't move one of them.
  */
 import assert from "node:assert/strict";
-import { type ChildProcess, spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
 import { createHash } from "node:crypto";
-import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { readFileSync } from "node:fs";
 import type http from "node:http";
-import { type AddressInfo, createServer } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { after, test } from "node:test";
 import { Ajv } from "ajv";
 import avro from "avsc";
@@ -29,6 +26,7 @@
 import * as peerCodec from "../src/io/peer-codec.js";
 import { MachineRecordStore } from "../src/service/machine-record-store.js";
 import { fromPieces } from "../src/service/mailbox.js";
+import { freePort, startController, until, writeSettings } from "./controller-process.js";
 import { CloudStandIn, StateStandIn } from "./standins.js";
 
 type Json = Record<string, unknown>;
@@ -269,23 +267,6 @@
   }
 }
 
-const MAIN = new URL("../../main.js", import.meta.url).pathname;
-const freePort = (): Promise<number> =>
-  new Promise((done) => {
-    const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => done(port));
-    });
-  });
-const until = async (what: string, fits: () => Promise<boolean> | boolean): Promise<void> => {
-  for (let i = 0; i < 1200; i++) {
-    if (await Promise.resolve(fits()).catch(() => false)) return;
-    await new Promise((done) => setTimeout(done, 50));
-  }
-  assert.fail(`never: ${what}`);
-};
-
 let child: ChildProcess | null = null;
 const stops: (() => void)[] = [];
 after(() => {
@@ -344,30 +325,23 @@
   first("commit/req-000005");
   first("job-fanin/req-000005", joined(1));
 
-  const config = join(mkdtempSync(join(tmpdir(), "indigowick-")), "config.json");
-  writeFileSync(
-    config,
-    JSON.stringify({
-      member: "north",
-      domain: "east",
-      front,
-      peer_bind: `127.0.0.1:${await freePort()}`,
-      seeds: [],
-      external: { cloud: cloud.addr, state: state.addr },
-      params: {
-        zones: ["east"],
-        teams: [{ name: "red", cpus: 100, cpus_max: 200, gpus: 0, gpus_max: 0 }],
-        workers: { report_s: 0.2, lease_s: 10, gang_wait_s: 10, gang_peer_s: 2, cancel_s: 30 },
-        state: { rps: 1000, write_rps: 1000, value_kb: 16, txn_ops: 16, next: { value_kb: 1, txn_ops: 6 } },
-        cloud: { rps: 50, list_lag_s: 1 },
-        machine_limits: { max_connections: 1000 },
-      },
-    }),
-  );
-  child = spawn(process.execPath, [MAIN, "--config", config], {
-    stdio: ["ignore", "ignore", "inherit"],
-    env: { ...process.env, LOG_LEVEL: "error" },
+  const config = writeSettings({
+    member: "north",
+    domain: "east",
+    front,
+    peer_bind: `127.0.0.1:${await freePort()}`,
+    seeds: [],
+    external: { cloud: cloud.addr, state: state.addr },
+    params: {
+      zones: ["east"],
+      teams: [{ name: "red", cpus: 100, cpus_max: 200, gpus: 0, gpus_max: 0 }],
+      workers: { report_s: 0.2, lease_s: 10, gang_wait_s: 10, gang_peer_s: 2, cancel_s: 30 },
+      state: { rps: 1000, write_rps: 1000, value_kb: 16, txn_ops: 16, next: { value_kb: 1, txn_ops: 6 } },
+      cloud: { rps: 50, list_lag_s: 1 },
+      machine_limits: { max_connections: 1000 },
+    },
   });
+  child = startController(config);
   const statusOf = async (id: string) => {
     const response = await fetch(`http://${front}/v2/runs/${id}`);
     return ((await response.json()) as Json)["status"];
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -1,24 +1,12 @@
 /** One whole controller, as a process, against stand-ins for everything round it. */
 import assert from "node:assert/strict";
-import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
-import { connect, createServer } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import type { ChildProcess } from "node:child_process";
+import { readFileSync } from "node:fs";
+import { connect } from "node:net";
 import { after, before, test } from "node:test";
+import { freePort, startController, until, writeSettings } from "./controller-process.js";
 import { CloudStandIn, StateStandIn } from "./standins.js";
 
-const MAIN = new URL("../../main.js", import.meta.url).pathname;
-
-const freePort = (): Promise<number> =>
-  new Promise((done) => {
-    const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      server.close(() => done(typeof address === "object" && address !== null ? address.port : 0));
-    });
-  });
-
 const state = new StateStandIn();
 const cloud = new CloudStandIn(() => front);
 let front = "";
@@ -26,10 +14,7 @@
 let child: ChildProcess | null = null;
 
 const start = (): void => {
-  child = spawn(process.execPath, [MAIN, "--config", config], {
-    stdio: ["ignore", "ignore", "inherit"],
-    env: { ...process.env, LOG_LEVEL: "error" },
-  });
+  child = startController(config);
 };
 const ask = async (
   method: string,
@@ -42,14 +27,6 @@
   });
   return { status: response.status, json: (await response.json()) as Record<string, unknown> };
 };
-/** Repeats until the answer fits; how long that takes is nobody's business here. */
-const until = async (what: string, fits: () => Promise<boolean>): Promise<void> => {
-  for (let i = 0; i < 1200; i++) {
-    if (await fits().catch(() => false)) return;
-    await new Promise((done) => setTimeout(done, 50));
-  }
-  assert.fail(`never: ${what}`);
-};
 const job = (ref: string, more: object = {}): object => ({
   ref,
   roster: "maps",
@@ -76,28 +53,24 @@
   await state.start();
   await cloud.start();
   front = `127.0.0.1:${await freePort()}`;
-  config = join(mkdtempSync(join(tmpdir(), "indigowick-")), "config.json");
-  writeFileSync(
-    config,
-    JSON.stringify({
-      member: "one",
-      domain: "east",
-      front,
-      peer_bind: `127.0.0.1:${await freePort()}`,
-      seeds: [],
-      external: { cloud: cloud.addr, state: state.addr },
-      params: {
-        initial_size: 1,
-        zones: ["east"],
-        teams: [{ name: "red", cpus: 4, cpus_max: 8, gpus: 0, gpus_max: 0 }],
-        objectives: [],
-        workers: { report_s: 0.2, lease_s: 10, cancel_s: 30 },
-        state: { rps: 1000, write_rps: 1000, value_kb: 16, txn_ops: 16 },
-        cloud: { rps: 50, list_lag_s: 1 },
-        machine_limits: { core_share: 1, ram_mb: 200, max_connections: 1000 },
-      },
-    }),
-  );
+  config = writeSettings({
+    member: "one",
+    domain: "east",
+    front,
+    peer_bind: `127.0.0.1:${await freePort()}`,
+    seeds: [],
+    external: { cloud: cloud.addr, state: state.addr },
+    params: {
+      initial_size: 1,
+      zones: ["east"],
+      teams: [{ name: "red", cpus: 4, cpus_max: 8, gpus: 0, gpus_max: 0 }],
+      objectives: [],
+      workers: { report_s: 0.2, lease_s: 10, cancel_s: 30 },
+      state: { rps: 1000, write_rps: 1000, value_kb: 16, txn_ops: 16 },
+      cloud: { rps: 50, list_lag_s: 1 },
+      machine_limits: { core_share: 1, ram_mb: 200, max_connections: 1000 },
+    },
+  });
   start();
   await until("the node is up", async () => (await ask("GET", "/up")).status === 200);
   // 503 until the machine types are known
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -3,13 +3,11 @@
  * writes, the other has to read as it was meant. `production/` holds what the version in production writes and reads.
  */
 import assert from "node:assert/strict";
-import { type ChildProcess, spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
 import { createHash } from "node:crypto";
-import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { readFileSync } from "node:fs";
 import http from "node:http";
-import { type AddressInfo, createServer } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import type { AddressInfo } from "node:net";
 import { after, test } from "node:test";
 import { Ajv, type ValidateFunction } from "ajv";
 import avro from "avsc";
@@ -47,6 +45,7 @@
 } from "../src/io/peer-codec.js";
 import { MachineRecordStore } from "../src/service/machine-record-store.js";
 import { fromPieces, pieceLimits, toPieces } from "../src/service/mailbox.js";
+import { freePort, startController, until, writeSettings } from "./controller-process.js";
 import { CloudStandIn, StateStandIn } from "./standins.js";
 
 type Json = Record<string, unknown>;
@@ -327,23 +326,6 @@
 
 // --- one process of this version beside a controller of production that this test plays ----------------------------
 
-const MAIN = new URL("../../main.js", import.meta.url).pathname;
-const freePort = (): Promise<number> =>
-  new Promise((done) => {
-    const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => done(port));
-    });
-  });
-const until = async (what: string, fits: () => Promise<boolean> | boolean): Promise<void> => {
-  for (let i = 0; i < 1200; i++) {
-    if (await Promise.resolve(fits()).catch(() => false)) return;
-    await new Promise((done) => setTimeout(done, 50));
-  }
-  assert.fail(`never: ${what}`);
-};
-
 let child: ChildProcess | null = null;
 const stops: (() => void)[] = [];
 after(() => {
@@ -434,33 +416,24 @@
   const term = { token: 4, key: state.ledger, leader: "south" };
   state.put(keys.term, { ...term, members: [{ name: "south", incarnation, zone: "east" }] });
 
-  const config = join(mkdtempSync(join(tmpdir(), "indigowick-")), "config.json");
-  writeFileSync(
-    config,
-    JSON.stringify({
-      member: "north",
-      domain: "east",
-      front,
-      peer_bind: peer,
-      seeds: [
-        { member: "south", domain: "east", addr: `127.0.0.1:${(south.address() as AddressInfo).port}` },
-      ],
-      external: { cloud: cloud.addr, state: state.addr },
-      params: {
-        zones: ["east"],
-        teams: [{ name: "red", cpus: 100, cpus_max: 200, gpus: 0, gpus_max: 0 }],
-        workers: { report_s: 0.2, lease_s: 10, cancel_s: 30 },
-        state: { rps: 1000, write_rps: 1000, value_kb: 16, txn_ops: 16, next: { value_kb: 2, txn_ops: 5 } },
-        cloud: { rps: 50, list_lag_s: 1 },
-        machine_limits: { max_connections: 1000 },
-      },
-    }),
-  );
-  const mine = state.puts;
-  child = spawn(process.execPath, [MAIN, "--config", config], {
-    stdio: ["ignore", "ignore", "inherit"],
-    env: { ...process.env, LOG_LEVEL: "error" },
+  const config = writeSettings({
+    member: "north",
+    domain: "east",
+    front,
+    peer_bind: peer,
+    seeds: [{ member: "south", domain: "east", addr: `127.0.0.1:${(south.address() as AddressInfo).port}` }],
+    external: { cloud: cloud.addr, state: state.addr },
+    params: {
+      zones: ["east"],
+      teams: [{ name: "red", cpus: 100, cpus_max: 200, gpus: 0, gpus_max: 0 }],
+      workers: { report_s: 0.2, lease_s: 10, cancel_s: 30 },
+      state: { rps: 1000, write_rps: 1000, value_kb: 16, txn_ops: 16, next: { value_kb: 2, txn_ops: 5 } },
+      cloud: { rps: 50, list_lag_s: 1 },
+      machine_limits: { max_connections: 1000 },
+    },
   });
+  const mine = state.puts;
+  child = startController(config);
   const ask = async (method: string, path: string, body?: object) => {
     const response = await fetch(`http://${front}${path}`, {
       method,
