Rent nothing for machines about to report; broken jobs hold no room and no rentals

Ruled out: capacity (machines were idle), refused rentals, faulty machines (none was returned as such).

Now a machine that is recorded and silent for no longer than a worker takes to find another controller counts as room in the sizing of the fleet. Of a job that failed on several machines, completed nowhere and runs nowhere, one task at a time is tried, after pauses of 8, 16, 32 and then 60 s (on three machines the pause never grew before); in between it waits for no room, keeps nothing from draining, is no reason to rent, and goes before no other job.

--- a/src/core/attempt-results.ts
+++ b/src/core/attempt-results.ts
@@ -2,17 +2,48 @@
 import * as Duration from "effect/Duration";
 import type { Cluster, Hold, Job, Machine } from "./cluster.js";
 import type { JobSpec } from "./records.js";
-import { type Instant, plus } from "./time.js";
+import { type Instant, passed, plus } from "./time.js";
 
 /** A job that failed on so many machines, and completed nowhere, is probably at fault itself. */
 const SUSPECT_AFTER = 3;
 /** A machine with so many failures, of jobs that aren't suspect, is set aside. */
 const FAULTY_AFTER = 2;
-const LONGEST_RETRY_S = 60;
+/** The pause between tries of such a job: it doubles up to the longest. */
+const FIRST_PAUSE = Duration.seconds(8);
+const LONGEST_PAUSE = Duration.seconds(60);
 const RETRY_AFTER_UNKNOWN = Duration.seconds(2);
 
-/** Whether a job failed on several machines and completed nowhere: it is tried one task at a time. */
-export const suspect = (job: Job): boolean => job.errorsOn.size >= SUSPECT_AFTER && job.done.size === 0;
+/** Tasks of a job that fails wherever it runs end at once: one that runs for longer speaks for its job. */
+const PROVEN_AFTER = Duration.seconds(10);
+
+const isUnproven = (hold: Hold, now: Instant): boolean =>
+  hold.state === "ordered" || hold.state === "fetching" || !passed(now, hold.since, PROVEN_AFTER);
+
+/** Whether some task of the job runs, and has run for a while. */
+const isProven = (job: Job, now: Instant): boolean => {
+  if (job.running === 0) return false;
+  for (const holds of job.holds.values())
+    if (holds.some((hold) => hold.state === "running" && !isUnproven(hold, now))) return true;
+  return false;
+};
+
+/**
+ * Whether a job failed on several machines, completed nowhere and runs nowhere: the fault is probably its own. It is
+ * tried one task at a time, after growing pauses, and holds no room that others need.
+ */
+export const isSuspect = (job: Job, now: Instant): boolean =>
+  job.errorsOn.size >= SUSPECT_AFTER && job.done.size === 0 && !isProven(job, now);
+
+/** How many of a job's tasks are worth starting now, room and limits aside. */
+export const startableTasks = (job: Job, now: Instant): number => {
+  if (!isSuspect(job, now)) return job.pending.size;
+  const isTried = [...job.holds.values()].flat().some((hold) => hold.state !== "exited");
+  return isTried ? 0 : Math.min(job.pending.size, 1);
+};
+
+/** Whether a job waits for room: one that pauses between its tries, or is tried right now, does not. */
+export const isWaitingForRoom = (job: Job, now: Instant): boolean =>
+  (job.retryAt === null || now >= job.retryAt) && startableTasks(job, now) > 0;
 
 /** A task of this job ran here, so its image is in the machine's cache; the least recently used ones make room. */
 export const noteImage = (machine: Machine, spec: JobSpec | null): void => {
@@ -54,28 +85,35 @@
   const { id } = job.spec;
   job.errorsOn.set(machine.id, now);
   machine.blame.set(id, (machine.blame.get(id) ?? 0) + 1);
-  if (suspect(job)) {
-    // it is tried ever more seldom, and the machines it failed on are used again
-    const seconds = Math.min(LONGEST_RETRY_S, 2 ** job.errorsOn.size);
-    job.retryAt = plus(now, Duration.seconds(seconds));
-    clearMachines(cluster, job);
+  if (isSuspect(job, now)) {
+    pauseBetweenTries(job, now);
+    // the machines it failed on are used again
+    clearMachines(cluster, job, now);
   }
-  if (machine.setAside === null && isFaulty(cluster, machine)) machine.setAside = now;
+  if (machine.setAside === null && isFaulty(cluster, machine, now)) machine.setAside = now;
+};
+
+/** Tasks that fail during a pause were started before it: they are part of the same try. */
+const pauseBetweenTries = (job: Job, now: Instant): void => {
+  if (job.retryAt !== null && now < job.retryAt) return;
+  const pause = Duration.times(FIRST_PAUSE, 2 ** Math.min(job.failedTries, 10));
+  job.failedTries++;
+  job.retryAt = plus(now, Duration.min(pause, LONGEST_PAUSE));
 };
 
-const clearMachines = (cluster: Cluster, job: Job): void => {
+const clearMachines = (cluster: Cluster, job: Job, now: Instant): void => {
   for (const id of job.errorsOn.keys()) {
     const machine = cluster.machines.get(id);
-    if (machine !== undefined && !machine.slow && !isFaulty(cluster, machine)) machine.setAside = null;
+    if (machine !== undefined && !machine.slow && !isFaulty(cluster, machine, now)) machine.setAside = null;
   }
 };
 
 /** Several failures that aren't the fault of a job that fails wherever it runs. */
-const isFaulty = (cluster: Cluster, machine: Machine): boolean => {
+const isFaulty = (cluster: Cluster, machine: Machine, now: Instant): boolean => {
   let failures = 0;
   for (const [id, count] of machine.blame) {
     const job = cluster.jobs.get(id);
-    if (job === undefined || !suspect(job)) failures += count;
+    if (job === undefined || !isSuspect(job, now)) failures += count;
   }
   return failures >= FAULTY_AFTER;
 };
--- a/src/core/cluster-state.ts
+++ b/src/core/cluster-state.ts
@@ -67,6 +67,8 @@
   readonly refusedOn: Map<string, Instant>;
   /** Nothing of it is started before this; null: at once. */
   retryAt: Instant | null;
+  /** How often it was tried again after it had failed on several machines, and failed once more. */
+  failedTries: number;
   /** A commit was decided on and has not failed. */
   committing: boolean;
   /** Tasks that run or save right now. */
@@ -260,6 +262,7 @@
   errorsOn: new Map(),
   refusedOn: new Map(),
   retryAt: null,
+  failedTries: 0,
   committing: false,
   running: 0,
   rank: RANK[spec.priority],
--- a/src/core/fleet-decisions.ts
+++ b/src/core/fleet-decisions.ts
@@ -1,4 +1,5 @@
 /** Which machines to rent and to return, given what waits and what is idle. Called about once a second. */
+import { startableTasks } from "./attempt-results.js";
 import type { Job, Machine } from "./cluster.js";
 import type { Decision } from "./decisions.js";
 import type { Fleet } from "./fleet.js";
@@ -48,7 +49,8 @@
   /** Rentals for what neither free nor booting machines will hold. */
   rent(now: Instant): Decision[] {
     const { cluster, types } = this.scope;
-    const isUsable = (machine: Machine): boolean => this.scope.usable(machine, now);
+    const isUsable = (machine: Machine): boolean =>
+      this.scope.usable(machine, now) || this.scope.isReconnecting(machine, now);
     const rents = this.fleet.rent(cluster, this.wanted(now), types, now, isUsable);
     return rents.map((rent) => ({ kind: "rent", rent }));
   }
@@ -60,7 +62,7 @@
       const team = this.scope.options.teams.get(job.spec.team);
       if (team === undefined) continue;
       const room = roomInLimit(team, this.scope.usageOf(job.spec.team), job.spec);
-      const tasks = Math.min(job.pending.size, room);
+      const tasks = Math.min(startableTasks(job, now), room);
       if (tasks > 0) wanted.push({ job, tasks });
     }
     return wanted;
--- a/src/core/job-queue.ts
+++ b/src/core/job-queue.ts
@@ -3,6 +3,7 @@
  * jobs are within a guarantee, and whether deadlines may bring jobs forward.
  */
 import * as Duration from "effect/Duration";
+import { isSuspect } from "./attempt-results.js";
 import type { Job } from "./cluster.js";
 import { timeFor } from "./pipelines.js";
 import { fitsGuarantee, type Usage } from "./quota.js";
@@ -24,11 +25,13 @@
 const compareEntries = (a: Entry, b: Entry): number =>
   b.rank - a.rank || Number(b.isGuaranteed) - Number(a.isGuaranteed) || a.job.stamp - b.job.stamp;
 
-const hasStarted = (job: Job): boolean => job.holds.size > 0 || job.done.size > 0;
+/** A job that fails wherever it runs was started often enough: it goes before no others. */
+const hasStarted = (job: Job, now: Instant): boolean =>
+  job.holds.size > 0 || job.done.size > 0 || isSuspect(job, now);
 
 /** Whether a job above the lowest rank has waited long for its first start. */
 const isStarved = (job: Job, now: Instant): boolean =>
-  job.rank > RANK.low && !hasStarted(job) && passed(now, job.seen, STARVED_AFTER);
+  job.rank > RANK.low && !hasStarted(job, now) && passed(now, job.seen, STARVED_AFTER);
 
 /** Sorts the cluster's waiting jobs; a look at each of them, and no more. */
 export class JobQueue {
@@ -65,7 +68,7 @@
   }
 
   private rankNow(job: Job, now: Instant): number {
-    const isLongWaiting = !hasStarted(job) && passed(now, job.seen, LONG_WAIT);
+    const isLongWaiting = !hasStarted(job, now) && passed(now, job.seen, LONG_WAIT);
     return job.rank + (isLongWaiting || this.isUrgent(job, now) ? 1 : 0);
   }
 
--- a/src/core/machine-returns.ts
+++ b/src/core/machine-returns.ts
@@ -1,5 +1,6 @@
 /** Which machines go back to the cloud, and why; and which are drained so that they can. */
 import * as Duration from "effect/Duration";
+import { isWaitingForRoom } from "./attempt-results.js";
 import { type Hold, type Machine, occupies } from "./cluster.js";
 import { allowed, freeRoom, type Room, slots, takeRoom } from "./placement.js";
 import type { LeaseExpiry } from "./lease-expiry.js";
@@ -7,8 +8,6 @@
 import { movable } from "./reconciler.js";
 import { type Instant, minus, passed, plus } from "./time.js";
 
-/** After this long a worker gives a report up. */
-const NO_ANSWER = Duration.seconds(4);
 /** The cloud's answer to a release, and the start elsewhere. */
 const RELEASE_TAKES = Duration.seconds(3);
 const REPEAT_AFTER = Duration.seconds(5);
@@ -44,12 +43,8 @@
     private readonly scope: SchedulerContext,
     private readonly proof: LeaseExpiry,
   ) {
-    const { workerLease, reportEvery } = scope.options.spans;
-    this.almostALease = Duration.subtract(workerLease, RELEASE_TAKES);
-    this.movesOn = Duration.min(
-      this.almostALease,
-      Duration.sum(Duration.times(reportEvery, 1.25), Duration.sum(NO_ANSWER, Duration.seconds(3))),
-    );
+    this.almostALease = Duration.subtract(scope.options.spans.workerLease, RELEASE_TAKES);
+    this.movesOn = Duration.min(this.almostALease, scope.reconnectWithin);
   }
 
   /** Machines to be released now, by reason. */
@@ -156,7 +151,7 @@
   consolidate(now: Instant, expectedCpus: number): void {
     const { cluster } = this.scope;
     const draining = [...cluster.machines.values()].filter((m) => m.draining);
-    if ([...cluster.waiting].some((j) => j.spec.kind !== "service")) {
+    if ([...cluster.waiting].some((job) => job.spec.kind !== "service" && isWaitingForRoom(job, now))) {
       for (const m of draining) m.draining = false;
       if (draining.length > 0) cluster.chances++;
       return;
--- a/src/core/placer.ts
+++ b/src/core/placer.ts
@@ -1,6 +1,6 @@
 /** Which waiting task starts next and where. Limits, zones and unknown holds are checked here (S4, S5, S6). */
 import * as Duration from "effect/Duration";
-import { suspect } from "./attempt-results.js";
+import { startableTasks } from "./attempt-results.js";
 import { type Hold, type Job, type Machine, removeHold } from "./cluster.js";
 import type { JobQueue } from "./job-queue.js";
 import { CommandBatch } from "./command-batch.js";
@@ -104,9 +104,8 @@
   private placeOrMakeRoom(job: Job, team: Team, round: PlacementRound): void {
     const { spec } = job;
     const used = round.mostUsed(this.scope.usageOf(spec.team));
-    // a job that fails everywhere is tried one task at a time
-    const most = suspect(job) ? 1 : Infinity;
-    let left = Math.min(job.pending.size, round.startsLeft, roomInLimit(team, used, spec), most);
+    const startable = startableTasks(job, round.now);
+    let left = Math.min(startable, round.startsLeft, roomInLimit(team, used, spec));
     if (left <= 0) return;
     if (!round.isHopeless(spec)) {
       const placed = this.placeTasks(job, left, round);
--- a/src/core/scheduler-context.ts
+++ b/src/core/scheduler-context.ts
@@ -9,6 +9,11 @@
 import { type Instant, passed } from "./time.js";
 import { ZoneWatch } from "./zones.js";
 
+/** After this long a worker gives a report up. */
+const REPORT_TIMEOUT = Duration.seconds(4);
+/** What a worker needs beyond that to be heard elsewhere: a second's pause, and room for delays. */
+const MOVE_MARGIN = Duration.seconds(3);
+
 export interface SchedulerOptions {
   readonly spans: Spans;
   readonly teams: ReadonlyMap<string, Team>;
@@ -23,6 +28,8 @@
   typeByName = new Map<string, MachineType>();
   /** How long after its last message a machine may be given work. */
   readonly fresh: Duration.Duration;
+  /** How long a worker takes to be heard through another controller: its next report, its timeout, another attempt. */
+  readonly reconnectWithin: Duration.Duration;
 
   constructor(
     readonly options: SchedulerOptions,
@@ -33,6 +40,10 @@
     readonly zones = new ZoneWatch(),
   ) {
     this.fresh = Duration.sum(Duration.times(options.spans.reportEvery, 1.25), Duration.millis(1500));
+    this.reconnectWithin = Duration.sum(
+      Duration.times(options.spans.reportEvery, 1.25),
+      Duration.sum(REPORT_TIMEOUT, MOVE_MARGIN),
+    );
   }
 
   setTypes(types: readonly MachineType[]): void {
@@ -56,6 +67,23 @@
     return this.usable(machine, now) && !machine.inFlight && !this.cluster.strayOn.has(machine);
   }
 
+  /**
+   * Whether a machine is silent only because the members changed a moment ago: its worker has yet to find another
+   * controller. Its room is about to be there again, so no other machine is rented in its place.
+   */
+  isReconnecting(machine: Machine, now: Instant): boolean {
+    if (passed(now, this.termBegan, this.reconnectWithin)) return false;
+    const isWanted =
+      machine.recorded &&
+      !machine.failed &&
+      machine.releasing === null &&
+      machine.noticeUntil === null &&
+      machine.setAside === null;
+    if (!isWanted) return false;
+    if (machine.heard === null) return !machine.confirmed;
+    return !passed(now, machine.heard, Duration.sum(this.fresh, this.reconnectWithin));
+  }
+
   /** It answers direct questions, but its reports reach nobody: its lease runs out, with all that is on it. */
   unrenewed(m: Machine, now: Instant): boolean {
     const span = Duration.sum(this.fresh, this.options.spans.reportEvery);
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -5,109 +5,15 @@
 import { addJob, newCluster } from "../src/core/cluster.js";
 import { Fleet } from "../src/core/fleet.js";
 import { type JobSpec, type Order, RANK, type TaskReport, type WorkerReport } from "../src/core/records.js";
-import { type Decision, Scheduler } from "../src/core/scheduler.js";
+import { Scheduler } from "../src/core/scheduler.js";
 import { termOf, tokenOf } from "../src/core/term.js";
 import { instant } from "../src/core/time.js";
 import { ZoneWatch } from "../src/core/zones.js";
 import { SPANS, TEAMS, TYPES } from "./model.js";
 import { recount } from "./recount.js";
+import { EAST, Scene } from "./scene.js";
 import { jobSpec as spec } from "./specs.js";
 
-/** A scheduler with small machines (8 processors each) that execute and report at once. */
-class Scene {
-  now = 1000;
-  readonly s: Scheduler;
-  readonly tasks = new Map<string, Map<string, TaskReport>>();
-  readonly sent: { machine: string; order: Order; token: number }[] = [];
-  private readonly asked: Extract<Decision, { kind: "orders" }>[] = [];
-  private seq = 0;
-  /** The token that the machines know. */
-  private token = tokenOf(1);
-
-  constructor(machines: readonly { id: string; zone: string; type?: string }[]) {
-    const term = { token: 1, key: 10, leader: "a", members: [{ name: "a", incarnation: 1, zone: "east" }] };
-    this.s = new Scheduler(
-      {
-        spans: SPANS,
-        teams: new Map(TEAMS.map((t) => [t.name, t])),
-        fleet: { reuse: 0.5, idleBoots: 1.5, warmFor: Duration.zero },
-        startGoals: new Map(),
-      },
-      term,
-      10,
-      instant(0),
-    );
-    this.s.setTypes(TYPES);
-    for (const { id, zone, type = "small" } of machines) {
-      this.s.recorded(id, { type, zone, spot: false, addr: id }, instant(0));
-      this.tasks.set(id, new Map());
-      this.report(id, zone);
-    }
-  }
-
-  report(id: string, zone = this.s.cluster.machines.get(id)!.zone, more: Partial<WorkerReport> = {}): void {
-    const r: WorkerReport = {
-      machine: id,
-      addr: id,
-      type: this.s.cluster.machines.get(id)!.type,
-      zone,
-      spot: false,
-      session: 1,
-      seq: ++this.seq,
-      token: this.token,
-      noticeS: null,
-      tasks: [...this.tasks.get(id)!.values()],
-      ...more,
-    };
-    this.s.report(r, "a", instant(this.now));
-  }
-
-  /** Everything reports, and the decisions are carried out; `late` machines don't answer orders. */
-  step(late: readonly string[] = []): Decision[] {
-    this.now += 500;
-    for (const id of this.tasks.keys()) if (this.s.cluster.machines.has(id)) this.report(id);
-    const decisions = this.s.step(instant(this.now));
-    for (const d of decisions) {
-      if (d.kind !== "orders") continue;
-      if (d.orders.length === 0) this.asked.push(d);
-      for (const order of d.orders) this.sent.push({ machine: d.machine, order, token: d.token });
-      if (late.includes(d.machine)) {
-        this.s.ordersAnswered(d.machine, d.orders, d.token, "unknown", instant(this.now));
-        continue;
-      }
-      for (const o of d.orders) this.execute(d.machine, o);
-      this.report(d.machine);
-      this.token = Math.max(this.token, d.token);
-      this.s.ordersAnswered(d.machine, d.orders, d.token, "done", instant(this.now));
-    }
-    return decisions;
-  }
-
-  private execute(machine: string, o: Order): void {
-    const tasks = this.tasks.get(machine)!;
-    const key = `${o.job}/${o.index}#${o.attempt}`;
-    const base = { job: o.job, index: o.index, attempt: o.attempt };
-    if (o.op === "forget") tasks.delete(key);
-    else if (o.op === "stop") tasks.set(key, { ...base, state: "exited", why: "stopped" });
-    else tasks.set(key, { ...base, state: "running", why: null });
-  }
-
-  end(machine: string, why: "done" | "error"): void {
-    for (const [key, t] of this.tasks.get(machine)!)
-      this.tasks.get(machine)!.set(key, { ...t, state: "exited", why });
-  }
-  live(): TaskReport[] {
-    return [...this.tasks.values()].flatMap((m) => [...m.values()]).filter((t) => t.state !== "exited");
-  }
-  questions(machine: string): { token: number }[] {
-    return this.asked.filter((d) => d.machine === machine);
-  }
-  ops(op: Order["op"]): number {
-    return this.sent.filter((x) => x.order.op === op).length;
-  }
-}
-const EAST = ["n-1", "n-2", "n-3"].map((id) => ({ id, zone: "east" }));
-
 test("a gang starts whole, with one attempt, and after a loss is taken down whole before the next", () => {
   const scene = new Scene(EAST);
   const gang = spec({ kind: "gang", tasks: 4, save: Duration.seconds(5), checkpoint: Duration.seconds(10) });
