--- a/test/model.ts
+++ b/test/model.ts
@@ -194,6 +194,8 @@
   lostAnswers = 0;
   /** New machines are up within two seconds. */
   quickBoots = false;
+  /** Jobs that were submitted with a mistake: each of their tasks fails on every machine. */
+  readonly failing = new Set<string>();
   /** Share of direct orders that are carried out 2 to 16 s late, unanswered. */
   lateOrders = 0;
   teams: readonly Team[] = TEAMS;
@@ -640,6 +642,10 @@
         t.state = "exited";
         // what a script wants to last so long doesn't fail
         t.why = this.random() < 0.05 && !this.lasts.has(t.job) ? "error" : "done";
+        if (this.failing.has(t.job)) {
+          t.why = "error";
+          this.count("attempts that failed");
+        }
         if (t.why === "done") {
           const done = this.completed.get(t.job) ?? new RangeSet();
           if (!done.has(t.index)) done.add(t.index);
@@ -1483,6 +1489,16 @@
     this.end(node, away);
     return true;
   }
+  /** The leader stands still while its clocks run on, with `others` more; says how many do. */
+  freezeLeader(ms: number, others = 0): number {
+    const leader = this.leads();
+    if (leader === undefined) return 0;
+    const rest = this.nodes.filter((n) => n !== leader && n.alive);
+    const frozen = [leader, ...rest.slice(0, others)];
+    for (const node of frozen) node.frozenUntil = this.now + ms;
+    this.count("controllers that stood still", frozen.length);
+    return frozen.length;
+  }
   /** The process of a member that doesn't lead ends, so that its part changes hands; says whether there was one. */
   endMember(away: number): boolean {
     const node = this.nodes.find((n) => n.alive && n.name !== this.leader?.name);
@@ -1542,6 +1558,10 @@
   open(): string[] {
     return [...this.jobs.keys()];
   }
+  /** A job's commit, if it has one. */
+  outcomeOf(id: string): "done" | "cancelled" | null {
+    return this.commits.get(id)?.outcome ?? null;
+  }
   /** What this team has on machines, and how many tasks no leader could place. */
   usageOf(team: string): number {
     let sum = 0;
