--- a/test/large-fleet.ts
+++ b/test/large-fleet.ts
@@ -6,6 +6,7 @@
 import { spansOf, tokenOf } from "../src/core/term.js";
 import { instant } from "../src/core/time.js";
 import { TYPES } from "./model.js";
+import { jobSpec } from "./specs.js";
 
 /** Counts every element that is looked at while one of the picture's collections is gone through. */
 export const countVisits = (cluster: Cluster): { visits: number } => {
@@ -28,30 +29,17 @@
   return counter;
 };
 
-export const largeFleetJob = (n: number, more: Partial<JobSpec>): JobSpec => ({
-  id: `req-${n}`,
-  className: "routes",
-  team: "red",
-  kind: "array",
-  priority: "normal",
-  tasks: 100,
-  cpus: 4,
-  gpus: 0,
-  memoryGb: 2,
-  image: `img-${n % 10}`,
-  imageGb: 1,
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: true,
-  estimate: Duration.seconds(35),
-  checkpoint: Duration.zero,
-  save: Duration.zero,
-  deadline: null,
-  awaits: [],
-  ...more,
-});
+/** An array of a hundred tasks, the n-th of its fleet. */
+export const largeFleetJob = (n: number, more: Partial<JobSpec>): JobSpec =>
+  jobSpec({
+    id: `req-${n}`,
+    className: "routes",
+    team: "red",
+    tasks: 100,
+    image: `img-${n % 10}`,
+    estimate: Duration.seconds(35),
+    ...more,
+  });
 
 /** A fleet that is full, with work waiting; every machine answers at once. */
 export class LargeFleet {
