--- a/src/core/cluster-machines.ts
+++ b/src/core/cluster-machines.ts
@@ -67,5 +67,6 @@
   cluster.unrecorded.delete(machine);
   cluster.hearing.delete(machine);
   cluster.mute.delete(machine);
+  cluster.fencing.delete(machine);
   cluster.strayOn.delete(machine);
 };
--- a/src/core/cluster-state.ts
+++ b/src/core/cluster-state.ts
@@ -165,6 +165,8 @@
   readonly hearing: Set<Machine>;
   /** Machines whose last command batch went unanswered. */
   readonly mute: Set<Machine>;
+  /** Machines whose raised token has to be seen before their shard is handed over. */
+  readonly fencing: Set<Machine>;
   /** Holds whose start got no answer (S4). */
   readonly doubts: Set<Hold>;
   /** Holds whose job record is not known, by job. */
@@ -198,6 +200,7 @@
   unrecorded: new Set(),
   hearing: new Set(),
   mute: new Set(),
+  fencing: new Set(),
   doubts: new Set(),
   strays: new Map(),
   strayOn: new Map(),
--- a/src/core/command-sender.ts
+++ b/src/core/command-sender.ts
@@ -73,7 +73,8 @@
       const machine = this.scope.cluster.machines.get(id);
       const orders = outbox.take(id);
       if (machine === undefined || orders === null) continue;
-      const sent = !machine.inFlight && this.sendBatch(machine, orders, decisions);
+      const isFree = !machine.inFlight && !this.scope.isPaused(machine);
+      const sent = isFree && this.sendBatch(machine, orders, decisions);
       // one batch at a time: what can't be sent now is decided on again
       if (!sent) this.answered(id, notSent(orders), now);
     }
@@ -87,8 +88,9 @@
     decisions.push({
       kind: "orders",
       machine: machine.id,
+      zone: machine.zone,
       // what got no answer by one way is sent by the other
-      via: machine.unanswered % 2 === 1 ? this.otherWay(machine) : machine.via,
+      via: machine.unanswered % 2 === 1 ? this.otherWay(machine) : this.usualWay(machine),
       addr: machine.addr,
       session: Math.max(1, machine.session),
       token: tokenOf(this.scope.term.token, machine.step),
@@ -97,6 +99,11 @@
     return true;
   }
 
+  /** The member that passes on its reports; right after its shard was handed over, the new owner. */
+  private usualWay(machine: Machine): string | null {
+    return this.scope.options.ownership?.wayTo(machine.id, machine.zone) ?? machine.via;
+  }
+
   /**
    * Beside the member that passes on a machine's reports, this node itself; and where that is the same, another member:
    * a leader that lost only its connections to workers would otherwise take them for dead.
@@ -139,6 +146,7 @@
       yield machine;
     }
     yield* cluster.mute;
+    yield* cluster.fencing;
   }
 
   private isSilent(machine: Machine, now: Instant): boolean {
--- a/src/core/decisions.ts
+++ b/src/core/decisions.ts
@@ -8,6 +8,7 @@
   | {
       kind: "orders";
       machine: string;
+      zone: string;
       via: string | null;
       addr: string;
       session: number;
--- a/src/core/reconciler.ts
+++ b/src/core/reconciler.ts
@@ -27,7 +27,8 @@
     for (const m of [...attention]) {
       m.idleSince = m.holds.size === 0 && m.heard !== null ? (m.idleSince ?? now) : null;
       // whatever ends these states puts the machine back
-      if (m.inFlight || !m.confirmed || m.addr === null || !this.machine(m, now, outbox)) attention.delete(m);
+      const isBusy = m.inFlight || this.scope.isPaused(m);
+      if (isBusy || !m.confirmed || m.addr === null || !this.machine(m, now, outbox)) attention.delete(m);
     }
   }
 
--- a/src/core/scheduler-context.ts
+++ b/src/core/scheduler-context.ts
@@ -20,6 +20,16 @@
   readonly fleet: FleetOptions;
   /** How soon users expect tasks of a class to start, from the platform's objectives. */
   readonly startGoals: ReadonlyMap<string, Duration.Duration>;
+  /** Explicit ownership of machines, where it is used. */
+  readonly ownership?: MachineOwnership;
+}
+
+/** What explicit ownership of machines says to the core. */
+export interface MachineOwnership {
+  /** No commands may be sent to the machine: its shard is being handed over. */
+  isPaused(machine: string, zone: string): boolean;
+  /** The member that commands go by, where that isn't the one which passes on the machine's reports; null: it is. */
+  wayTo(machine: string, zone: string): string | null;
 }
 
 export class SchedulerContext {
@@ -64,7 +74,13 @@
 
   /** Whether tasks may be started on it now: no batch is on its way, and nothing of unknown size is on it (S6). */
   isReady(machine: Machine, now: Instant): boolean {
-    return this.usable(machine, now) && !machine.inFlight && !this.cluster.strayOn.has(machine);
+    const isFree = !machine.inFlight && !this.isPaused(machine);
+    return this.usable(machine, now) && isFree && !this.cluster.strayOn.has(machine);
+  }
+
+  /** Whether the machine's shard is being handed over: it gets no commands, but may be asked for reports. */
+  isPaused(machine: Machine): boolean {
+    return this.options.ownership?.isPaused(machine.id, machine.zone) ?? false;
   }
 
   /**
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -24,6 +24,7 @@
 import { type SchedulerOptions, SchedulerContext } from "./scheduler-context.js";
 import { summaryOf } from "./summary.js";
 import { Reconciler } from "./reconciler.js";
+import { ShardDrain } from "./shard-drain.js";
 import type { Instant } from "./time.js";
 import type { ZoneWatch } from "./zones.js";
 
@@ -33,6 +34,8 @@
 export class Scheduler {
   /** Rentals under way and what the fleet's sizing remembers. */
   readonly fleet: Fleet;
+  /** What handing machines over to another controller needs. */
+  readonly drain: ShardDrain;
   private readonly scope: SchedulerContext;
   private readonly jobs: JobIntake;
   private readonly machines: MachineIntake;
@@ -56,6 +59,7 @@
   ) {
     this.scope = new SchedulerContext(options, term, now, leaderStamp, zones);
     this.fleet = new Fleet(options.fleet);
+    this.drain = new ShardDrain(this.scope);
     this.jobs = new JobIntake(this.scope.cluster);
     this.machines = new MachineIntake(this.scope);
     this.pace = new SlowMachineDetector(this.scope);
@@ -97,6 +101,7 @@
     for (const machine of this.cluster.machines.values()) {
       machine.inFlight = false;
       machine.step = 0;
+      this.cluster.fencing.delete(machine);
       this.cluster.attention.add(machine);
     }
     this.cluster.chances++;
--- /dev/null
+++ b/src/core/shard-drain.ts
@@ -0,0 +1,79 @@
+/**
+ * What the leader's core knows about handing a shard over: whether its machines could be drained now, and whether every
+ * command that was sent to them is settled. A machine is fenced once it was seen under a token that was raised after the
+ * last command: whatever was sent before is refused from then on (S2 in docs/design.md).
+ */
+import { Refusal, type ShardFacts } from "#shards";
+import type { Hold, Machine } from "./cluster.js";
+import type { SchedulerContext } from "./scheduler-context.js";
+import { tokenOf } from "./term.js";
+
+/** The shard's side of the core. Owns `cluster.fencing`. */
+export class ShardDrain {
+  /** `scope`: what the parts of the core share. */
+  constructor(private readonly scope: SchedulerContext) {}
+
+  /** Raises the machines' tokens and has them asked for reports. */
+  raiseTokens(machines: readonly Machine[]): void {
+    for (const machine of machines) {
+      machine.step++;
+      machine.probedAt = null;
+      this.scope.cluster.fencing.add(machine);
+    }
+  }
+
+  /** The machines may be given commands again. */
+  resume(machines: readonly Machine[]): void {
+    const { cluster } = this.scope;
+    for (const machine of machines) {
+      cluster.fencing.delete(machine);
+      cluster.attention.add(machine);
+    }
+    if (machines.length > 0) cluster.chances++;
+  }
+
+  /** What stands against handing the machines over, and whether they are fenced. */
+  factsOf(machines: readonly Machine[]): ShardFacts {
+    const wanted = machines.filter((machine) => this.isWanted(machine));
+    const unfenced = wanted.find((machine) => !this.isFenced(machine));
+    return {
+      machines: wanted.length,
+      obstacle: this.obstacleOf(wanted),
+      fenced: unfenced === undefined,
+      unfenced: unfenced?.id ?? null,
+    };
+  }
+
+  /** One that is being returned, or that never held anything, has no commands to wait for. */
+  private isWanted(machine: Machine): boolean {
+    return machine.releasing === null && machine.recorded;
+  }
+
+  private isFenced(machine: Machine): boolean {
+    const token = tokenOf(this.scope.term.token, machine.step);
+    const isSeen = machine.confirmed && machine.token >= token;
+    if (isSeen) this.scope.cluster.fencing.delete(machine);
+    return isSeen && !machine.inFlight;
+  }
+
+  private obstacleOf(machines: readonly Machine[]): Refusal | null {
+    for (const machine of machines) {
+      const { id } = machine;
+      if (!machine.confirmed || machine.addr === null) return Refusal.MachineNotHeard({ machine: id });
+      if (machine.unanswered > 0) return Refusal.CommandInDoubt({ machine: id });
+      for (const hold of machine.holds.values()) {
+        const refusal = this.obstacleOfHold(hold);
+        if (refusal !== null) return refusal;
+      }
+    }
+    return null;
+  }
+
+  private obstacleOfHold(hold: Hold): Refusal | null {
+    if (hold.doubt !== null) return Refusal.CommandInDoubt({ machine: hold.machine });
+    if (hold.spec?.kind !== "gang") return null;
+    if (hold.state === "saving") return Refusal.GangSaving({ job: hold.job });
+    const isAssembling = hold.state === "ordered" || hold.state === "fetching" || hold.state === "waiting";
+    return isAssembling ? Refusal.GangAssembling({ job: hold.job }) : null;
+  }
+}
--- a/src/core/term.ts
+++ b/src/core/term.ts
@@ -1,5 +1,6 @@
 /** Who leads, how long a node may act, and which member takes care of which machine. */
 import * as Duration from "effect/Duration";
+import { rendezvousOwner } from "#shards";
 import { type Instant, passed, stretched } from "./time.js";
 import type { TermMember, TermRecord } from "./records.js";
 
@@ -52,29 +53,9 @@
 export const informed = (spans: Spans, read: Instant | null, now: Instant): boolean =>
   read !== null && !passed(now, read, spans.informed);
 
-const hash = (text: string): number => {
-  // FNV-1a with a final mix: every node must come to the same number
-  let h = 0x811c9dc5;
-  for (let i = 0; i < text.length; i++) h = Math.imul(h ^ text.charCodeAt(i), 0x01000193);
-  h = Math.imul(h ^ (h >>> 16), 0x85ebca6b);
-  h = Math.imul(h ^ (h >>> 13), 0xc2b2ae35);
-  return (h ^ (h >>> 16)) >>> 0;
-};
-
 /** Rendezvous hash: the member whose part a machine belongs to; members of its own zone come first. */
-export const ownerOf = (term: TermRecord, machine: string, zone: string): TermMember | null => {
-  const near = term.members.filter((m) => m.zone === zone);
-  let best: TermMember | null = null;
-  let bestScore = -1;
-  for (const member of near.length > 0 ? near : term.members) {
-    const score = hash(`${member.name} ${machine}`);
-    if (score > bestScore) {
-      best = member;
-      bestScore = score;
-    }
-  }
-  return best;
-};
+export const ownerOf = (term: TermRecord, machine: string, zone: string): TermMember | null =>
+  rendezvousOwner(term.members, machine, zone);
 
 /** The members that hold keys now make a new term when they differ from the ones the term names. */
 export const sameMembers = (a: readonly TermMember[], b: readonly TermMember[]): boolean =>
--- a/src/core/worker-partition.ts
+++ b/src/core/worker-partition.ts
@@ -49,11 +49,20 @@
     );
   });
 
+/** The name of the member that answers a machine's reports; null: there is none. */
+export type OwnerLookup = (term: TermRecord, machine: string, zone: string) => string | null;
+
+const rendezvousLookup: OwnerLookup = (term, machine, zone) => ownerOf(term, machine, zone)?.name ?? null;
+
 export class WorkerPartition {
   term: TermRecord | null = null;
+  /** Where explicit ownership is used, it takes the place of the rendezvous hash. */
+  ownerName: OwnerLookup = rendezvousLookup;
   private readonly workers = new Map<string, Worker>();
-  private readonly sentAway = new Map<string, Instant>();
-  private readonly takenIn = new Map<string, number>();
+  /** Machines that were told of another member, of which, and when. */
+  private readonly sentAway = new Map<string, { readonly to: string; readonly at: Instant }>();
+  /** Machines that can't reach the member that they belong to, and which that is. */
+  private readonly takenIn = new Map<string, string>();
   /** Workers whose report the leader has not heard; the same for when they were heard and answered. */
   private readonly unsent = new Set<string>();
   private readonly touched = new Set<string>();
@@ -108,16 +117,16 @@
     if (!entitled || term === null) return { kind: "unsure" };
     if (!term.members.some((m) => m.name === this.member && m.incarnation === incarnation))
       return { kind: "unsure" };
-    const owner = ownerOf(term, r.machine, r.zone);
-    if (owner !== null && owner.name !== this.member && this.takenIn.get(r.machine) !== term.token) {
+    const owner = this.ownerName(term, r.machine, r.zone);
+    if (owner !== null && owner !== this.member && this.takenIn.get(r.machine) !== owner) {
       const away = this.sentAway.get(r.machine);
-      if (away === undefined || passed(now, away, COMES_BACK_WITHIN)) {
-        this.sentAway.set(r.machine, now);
+      if (away?.to !== owner || passed(now, away.at, COMES_BACK_WITHIN)) {
+        this.sentAway.set(r.machine, { to: owner, at: now });
         if (this.sentAway.size > MAX_SENT_AWAY) this.sentAway.delete(this.sentAway.keys().next().value!);
-        return { kind: "elsewhere", member: owner.name };
+        return { kind: "elsewhere", member: owner };
       }
       // it came back: it can't reach the part's member, so it is taken in
-      this.takenIn.set(r.machine, term.token);
+      this.takenIn.set(r.machine, owner);
     }
     this.take(r, now);
     // a late copy is answered as well, and the proof by time must reckon with that; it is no sign of life
--- a/src/io/peer-codec.ts
+++ b/src/io/peer-codec.ts
@@ -4,8 +4,8 @@
 import type { AgedReport, Outcome, Seen } from "../core/member-news.js";
 import type { Range } from "../core/ranges.js";
 
-const array = (items: unknown) => ({ type: "array", items });
-const record = (name: string, fields: Record<string, unknown>) => ({
+export const array = (items: unknown) => ({ type: "array", items });
+export const record = (name: string, fields: Record<string, unknown>) => ({
   type: "record",
   name,
   fields: Object.entries(fields).map(([field, type]) => ({ name: field, type })),
@@ -93,7 +93,7 @@
   encode(value: T): Buffer;
   decode(buffer: Buffer): T;
 }
-const codec = <T>(schema: unknown): Codec<T> => {
+export const codec = <T>(schema: unknown): Codec<T> => {
   const type = avro.Type.forSchema(schema as avro.Schema, { wrapUnions: false });
   return {
     schema: type.schema(),
--- a/src/io/schemas.ts
+++ b/src/io/schemas.ts
@@ -94,6 +94,48 @@
       default: 10,
       description: "Seconds of arriving work for which room is kept free.",
     },
+    shards: {
+      type: "object",
+      additionalProperties: false,
+      default: {},
+      description: "Explicit ownership of machines by controllers.",
+      properties: {
+        enabled: {
+          type: "boolean",
+          default: false,
+          description: "Whether this controller knows shards; they are used once all members of the term do.",
+        },
+        moves_at_once: {
+          type: "integer",
+          minimum: 1,
+          maximum: 16,
+          default: 2,
+          description: "Shards in a handoff at a time.",
+        },
+        hysteresis: {
+          type: "number",
+          minimum: 0.05,
+          maximum: 5,
+          default: 0.3,
+          description:
+            "How much the heaviest controller may exceed the lightest before shards move, as a share of their mean.",
+        },
+        rehearsal_s: {
+          type: "number",
+          minimum: 0,
+          maximum: 3600,
+          default: 0,
+          description:
+            "For trials: the leader moves a shard this often, and drains a controller now and then; 0: never.",
+        },
+      },
+    },
+    operators_socket: {
+      type: "string",
+      pattern: "^(127\\.[0-9]{1,3}\\.[0-9]{1,3}\\.[0-9]{1,3}:[0-9]{1,5})?$",
+      default: "",
+      description: "Loopback address at which operators' commands are taken; empty: none.",
+    },
   },
 } as const;
 
--- a/src/io/settings.ts
+++ b/src/io/settings.ts
@@ -36,6 +36,18 @@
   readonly reuse: number;
   readonly idleBoots: number;
   readonly warmFor: Duration.Duration;
+  readonly shards: ShardSettings;
+  /** Where operators' commands are taken; null: nowhere. */
+  readonly operatorsSocket: string | null;
+}
+
+/** Explicit ownership of machines by controllers. */
+export interface ShardSettings {
+  readonly enabled: boolean;
+  readonly movesAtOnce: number;
+  readonly hysteresis: number;
+  /** How often a move is rehearsed; null: never. */
+  readonly rehearseEvery: Duration.Duration | null;
 }
 
 interface StateLimits {
@@ -62,7 +74,14 @@
   };
 }
 
-type OperatorFile = Record<keyof (typeof operatorSchema)["properties"], number>;
+interface OperatorFile {
+  member_lease_s: number;
+  reuse: number;
+  idle_boots: number;
+  warm_s: number;
+  shards: { enabled: boolean; moves_at_once: number; hysteresis: number; rehearsal_s: number };
+  operators_socket: string;
+}
 
 /** One clear line for whoever started the program with a bad file. */
 export class BadSettings extends Error {}
@@ -147,6 +166,13 @@
       reuse: own.reuse,
       idleBoots: own.idle_boots,
       warmFor: Duration.seconds(own.warm_s),
+      shards: {
+        enabled: own.shards.enabled,
+        movesAtOnce: own.shards.moves_at_once,
+        hysteresis: own.shards.hysteresis,
+        rehearseEvery: own.shards.rehearsal_s > 0 ? Duration.seconds(own.shards.rehearsal_s) : null,
+      },
+      operatorsSocket: own.operators_socket === "" ? null : own.operators_socket,
     },
   };
 };
--- /dev/null
+++ b/src/io/shard-codec.ts
@@ -0,0 +1,83 @@
+/** What controllers say to one another about shards, in Avro. Earlier versions know none of these paths and answer 404. */
+import { type Offer, Refusal, type ReleaseRequest } from "#shards";
+import { array, codec, record } from "./peer-codec.js";
+
+/** A worker of the shard, for the target to ask. */
+export interface SampleWorker {
+  readonly addr: string;
+  readonly session: number;
+  readonly token: number;
+}
+
+/** An offer with some of the shard's workers. */
+export interface ShardOffer extends Offer {
+  readonly workers: readonly SampleWorker[];
+}
+
+/** A refusal on its way: its tag and its fields as JSON; empty: none. */
+export interface RefusalText {
+  readonly refusal: string;
+}
+
+/** What an operator asks of whichever controller leads. */
+export interface OperatorRequest {
+  readonly verb: "list" | "move" | "drain" | "cancel" | "outcome";
+  /** The shard, controller or move that is meant. */
+  readonly name: string;
+  /** The target of a move. */
+  readonly target: string;
+  /** The epoch that the operator expects; -1: any. */
+  readonly epoch: number;
+}
+
+/** The answer: a status of HTTP, and JSON for the operator. */
+export interface OperatorAnswer {
+  readonly status: number;
+  readonly body: string;
+}
+
+export const offerCodec = codec<ShardOffer>(
+  record("ShardOffer", {
+    id: "string",
+    term: "long",
+    shard: "string",
+    epoch: "long",
+    machines: "int",
+    workers: array(record("SampleWorker", { addr: "string", session: "long", token: "long" })),
+  }),
+);
+export const releaseCodec = codec<ReleaseRequest>(
+  record("ReleaseRequest", { id: "string", term: "long", shard: "string", epoch: "long" }),
+);
+export const refusalCodec = codec<RefusalText>(record("RefusalText", { refusal: "string" }));
+export const operatorRequestCodec = codec<OperatorRequest>(
+  record("OperatorRequest", { verb: "string", name: "string", target: "string", epoch: "long" }),
+);
+export const operatorAnswerCodec = codec<OperatorAnswer>(
+  record("OperatorAnswer", { status: "int", body: "string" }),
+);
+
+/** Paths of these messages. */
+export const shardPaths = {
+  offer: "/shards/offer",
+  release: "/shards/release",
+  operate: "/shards/operate",
+} as const;
+
+/** A refusal as it is sent. */
+export const refusalText = (refusal: Refusal | null): RefusalText => ({
+  refusal: refusal === null ? "" : JSON.stringify(refusal),
+});
+
+/** A refusal as it came; what this version doesn't know is a refusal all the same. */
+export const parseRefusal = ({ refusal }: RefusalText, member: string): Refusal | null => {
+  if (refusal === "") return null;
+  try {
+    const value = JSON.parse(refusal) as { _tag?: unknown };
+    const known = typeof value._tag === "string" && value._tag !== "$match" && value._tag in Refusal;
+    if (known) return value as Refusal;
+  } catch {
+    // not JSON: answered below
+  }
+  return Refusal.NoAnswer({ member });
+};
--- a/src/main.ts
+++ b/src/main.ts
@@ -4,6 +4,7 @@
 import * as Effect from "effect/Effect";
 import * as Exit from "effect/Exit";
 import * as Cause from "effect/Cause";
+import { shardsCommand } from "./cli/shards.js";
 import { makeLog } from "./io/log.js";
 import { operatorSchema } from "./io/schemas.js";
 import { BadSettings, loadSettings } from "./io/settings.js";
@@ -62,7 +63,14 @@
     process.stdout.write(`${JSON.stringify(operatorSchema, null, 2)}\n`);
   });
 
-for (const command of [program, ...program.commands]) command.exitOverride();
+program.addCommand(shardsCommand());
+
+/** Every command and those below it end with this program's own codes. */
+const overrideExit = (command: Command): void => {
+  command.exitOverride();
+  command.commands.forEach(overrideExit);
+};
+overrideExit(program);
 try {
   await program.parseAsync();
 } catch (error) {
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -18,6 +18,7 @@
   type WorkerReport,
 } from "../core/records.js";
 import { type Decision, type OrderOutcome, Scheduler } from "../core/scheduler.js";
+import type { MachineOwnership } from "../core/scheduler-context.js";
 import type { Spans } from "../core/term.js";
 import { type Instant, instant, minus, passed, plus } from "../core/time.js";
 import { ZoneWatch } from "../core/zones.js";
@@ -37,6 +38,7 @@
 import type { Peers } from "./peers.js";
 import type { JobReleaser } from "./job-releaser.js";
 import { RejectionBackoff } from "./rejection-backoff.js";
+import type { ShardLeader } from "./shards/shard-leader.js";
 import { Signal } from "./signal.js";
 
 export interface LeaderOptions {
@@ -50,6 +52,7 @@
   readonly listEvery: Duration.Duration;
   /** The cloud's rate of requests. */
   readonly cloudRps: number;
+  readonly ownership?: MachineOwnership;
 }
 
 const STEP_EVERY = Duration.millis(250);
@@ -128,6 +131,8 @@
     private readonly cloud: CloudClient,
     private readonly peers: Peers,
     private readonly releases: JobReleaser,
+    /** null: shards are off. */
+    private readonly shards: ShardLeader | null,
     private readonly log: Log,
   ) {
     mirror.onWaiting = (job) => this.waitingSeen(job);
@@ -163,6 +168,7 @@
 
   private stop(): void {
     this.guarded = null;
+    this.shards?.stop();
     this.pending.clear();
     this.records.length = 0;
     this.useless.clear();
@@ -280,6 +286,7 @@
     for (const job of this.mirror.waiting.values()) scheduler.waitingSeen(job.spec, job.accepted);
     for (const id of [...scheduler.cluster.jobs.keys()]) if (!this.mirror.jobs.has(id)) scheduler.jobOver(id);
     this.guarded = new Locked(scheduler);
+    this.shards?.begin(this.guarded);
     this.state.setLeading(true);
     this.member.localLeader = this.sync;
     this.log.info(
@@ -401,6 +408,7 @@
     const id = (this.membership.term?.token ?? 0) * ORDERS_IN_TERM + ++this.batches;
     const { machine, addr, session, token, orders } = d;
     this.pending.set(id, { machine, orders, token, at: now() });
+    if (orders.length > 0) this.shards?.commandsSent(machine, d.zone);
     if (orders.length > 0 && this.log.isLevelEnabled("debug"))
       this.log.debug(
         { token, machine, orders: orders.map((o) => `${o.op} ${o.job}/${o.index}`).join(", ") },
--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -11,9 +11,9 @@
   type TermRecord,
 } from "../core/records.js";
 import { now } from "../io/clock.js";
-import type { Row } from "../io/codec.js";
+import type { Change, Row } from "../io/codec.js";
 import type { Log } from "../io/log.js";
-import type { CommitResult, StateClient } from "../io/state-client.js";
+import type { CommitResult, StateClient, StateError } from "../io/state-client.js";
 import { RejectionBackoff } from "./rejection-backoff.js";
 import { Signal } from "./signal.js";
 
@@ -22,6 +22,19 @@
   readonly permit: number;
 }
 
+/** What a subsystem writes together with this process's membership. */
+export interface MembershipExtension {
+  /** Written with the member key, on the same lease. */
+  announcement(permit: number): Change[];
+  /** Written with a term of these members. */
+  withTerm(token: number, members: readonly TermMember[]): Effect.Effect<Change[], StateError>;
+}
+
+const NO_EXTENSION: MembershipExtension = {
+  announcement: () => [],
+  withTerm: () => Effect.succeed([]),
+};
+
 export class Membership {
   permit: number | null = null;
   /** The stamp of this process's member record. */
@@ -55,6 +68,7 @@
     private readonly ask: (member: string, token: number) => Effect.Effect<boolean>,
     /** When the last read that showed every ended job was sent. */
     private readonly read: () => Instant | null,
+    private readonly extension = NO_EXTENSION,
   ) {
     this.refusals = new RejectionBackoff(log);
   }
@@ -142,7 +156,7 @@
     // a late copy of an earlier process's write finds this key there and changes nothing
     const done = yield* this.state.commit(
       [{ key: keys.member(this.me), stamp: 0 }],
-      [{ put: keys.member(this.me), value: record, permit }],
+      [{ put: keys.member(this.me), value: record, permit }, ...this.extension.announcement(permit)],
       "vital",
     );
     if (done.ok === null) yield* Effect.ignore(this.state.revoke(permit));
@@ -296,6 +310,7 @@
       leader: this.me,
       members,
     };
+    const extra = yield* this.extension.withTerm(term.token, members);
     const before = this.beginning;
     this.beginning = Math.max(before, term.token);
     // what certainly wasn't written is no term: others must not be refused this node's word for it
@@ -306,7 +321,7 @@
           { key: keys.leader, stamp: leadership.stamp },
           { key: keys.term, stamp: row?.stamp ?? 0 },
         ],
-        [{ put: keys.term, value: term }],
+        [{ put: keys.term, value: term }, ...extra],
         "vital",
       )
       .pipe(Effect.tapErrorTag("Unavailable", () => notBegun));
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -5,6 +5,7 @@
 import { CloudClient } from "../io/cloud-client.js";
 import type { Log } from "../io/log.js";
 import type { Settings } from "../io/settings.js";
+import type { OperatorAnswer } from "../io/shard-codec.js";
 import { StateClient } from "../io/state-client.js";
 import { WorkerClient } from "../io/worker-client.js";
 import { Front } from "./front.js";
@@ -14,6 +15,8 @@
 import { JobCache } from "./job-cache.js";
 import { Peers, servePeers } from "./peers.js";
 import { JobReleaser } from "./job-releaser.js";
+import { serveOperators } from "./operators-server.js";
+import { shardExtension, Shards } from "./shards/shards.js";
 import { Status } from "./status.js";
 
 /**
@@ -26,12 +29,20 @@
 /** The state service, the cloud and the other nodes. */
 const OTHERS = 0.05;
 
+/** What operators are told where the settings don't turn shards on. */
+const shardsAreOff = (): Effect.Effect<OperatorAnswer> =>
+  Effect.succeed({
+    status: 409,
+    body: JSON.stringify({ reason: "shards are off in this controller's settings" }),
+  });
+
 /** Runs until the process is killed; fails only when a socket can't be bound. */
 export const runNode = (settings: Settings, log: Log): Effect.Effect<void, Error> =>
   Effect.gen(function* () {
     const spans = spansOf(settings.workers, settings.operator.memberLease);
     const teams = new Map(settings.teams.map((t) => [t.name, t]));
     const nodes = settings.peers.length + 1;
+    const shardSettings = settings.operator.shards;
     const state = new StateClient(settings.state, settings.stateLimits, nodes);
     state.setLeading(false);
     const cloud = new CloudClient(settings.cloud, settings.cloudLimits.rps);
@@ -50,9 +61,14 @@
       settings.peers.map((p) => p.member),
       (other, token) => peers.word(other, token),
       () => mirror.read,
+      shardSettings.enabled ? shardExtension(settings.member, state) : undefined,
     );
     // the front, which is made last, knows
     let connections: (() => number) | null = null;
+    const workers = new WorkerClient(Math.ceil(settings.maxConnections * CALLS), () => {
+      const left = settings.maxConnections * (1 - OTHERS - CALLS) - (connections?.() ?? 0);
+      return Math.min(left, settings.maxConnections * KEPT);
+    });
     const member = new Member(
       {
         me: settings.member,
@@ -62,13 +78,27 @@
       },
       membership,
       state,
-      new WorkerClient(Math.ceil(settings.maxConnections * CALLS), () => {
-        const left = settings.maxConnections * (1 - OTHERS - CALLS) - (connections?.() ?? 0);
-        return Math.min(left, settings.maxConnections * KEPT);
-      }),
+      workers,
       peers,
       log,
     );
+    const shards = shardSettings.enabled
+      ? new Shards(
+          {
+            me: settings.member,
+            settings: shardSettings,
+            spans,
+            txnOps: settings.stateLimits.txnOps,
+            freeConnections: () => settings.maxConnections * FRONT - (connections?.() ?? 0),
+          },
+          membership,
+          state,
+          workers,
+          peers,
+          log,
+        )
+      : null;
+    if (shards !== null) member.part.ownerName = shards.ownerLookup(member.part.ownerName);
     const status = new Status(state, mirror, settings.stateLimits.txnOps * 4, log);
     const releases = new JobReleaser(state, mirror, status, log);
     const leader = new Leader(
@@ -82,6 +112,7 @@
           warmFor: settings.operator.warmFor,
         },
         startGoals: settings.startGoals,
+        ...(shards === null ? {} : { ownership: shards.ownership }),
         txnOps: settings.stateLimits.txnOps,
         valueKb: settings.stateLimits.valueKb,
         cloudRps: settings.cloudLimits.rps,
@@ -94,10 +125,12 @@
       cloud,
       peers,
       releases,
+      shards?.leader ?? null,
       log,
     );
     mirror.leading = () => membership.leadership !== null;
     membership.onTerm = (term) => {
+      shards?.view.setTerm(term, membership.termStamp);
       member.part.setTerm(term);
       leader.termChanged(term);
       member.termChanged();
@@ -128,10 +161,14 @@
       sync: leader.sync,
       deliver: (d) => member.deliver(d),
       word: (w) => ({ noneNewer: membership.knowsNoneNewer(w.token) }),
+      shards: shards?.handlers ?? null,
     });
+    const { operatorsSocket } = settings.operator;
+    if (operatorsSocket !== null)
+      yield* serveOperators(operatorsSocket, shards === null ? shardsAreOff : (r) => shards.operator.ask(r));
     yield* front.serve();
     log.info({ front: settings.front, peers: settings.peerBind }, "listening");
-    yield* Effect.all([membership.run, mirror.run, member.run, leader.run], {
+    yield* Effect.all([membership.run, mirror.run, member.run, leader.run, shards?.run ?? Effect.void], {
       concurrency: "unbounded",
       discard: true,
     });
--- a/src/service/peers.ts
+++ b/src/service/peers.ts
@@ -20,6 +20,19 @@
   wordCodec,
 } from "../io/peer-codec.js";
 import { listen, readBody } from "../io/server.js";
+import {
+  offerCodec,
+  type OperatorAnswer,
+  operatorAnswerCodec,
+  type OperatorRequest,
+  operatorRequestCodec,
+  refusalCodec,
+  type RefusalText,
+  releaseCodec,
+  shardPaths,
+  type ShardOffer,
+} from "../io/shard-codec.js";
+import type { ReleaseRequest } from "#shards";
 
 const TYPE = "avro/binary";
 const MAX_BODY = 4 * 1024 * 1024;
@@ -59,6 +72,19 @@
     );
   }
 
+  offerShard(member: string, value: ShardOffer): Effect.Effect<RefusalText | null, CallFailed> {
+    return this.ask(member, shardPaths.offer, offerCodec, refusalCodec, value, Duration.seconds(2.5));
+  }
+
+  releaseShard(member: string, value: ReleaseRequest): Effect.Effect<RefusalText | null, CallFailed> {
+    return this.ask(member, shardPaths.release, releaseCodec, refusalCodec, value, Duration.seconds(1));
+  }
+
+  operate(member: string, value: OperatorRequest): Effect.Effect<OperatorAnswer | null, CallFailed> {
+    const timeout = Duration.seconds(2);
+    return this.ask(member, shardPaths.operate, operatorRequestCodec, operatorAnswerCodec, value, timeout);
+  }
+
   deliver(member: string, value: Deliver): Effect.Effect<Delivered | null, CallFailed> {
     return this.ask(member, peerPaths.deliver, deliverCodec, deliveredCodec, value, Duration.seconds(2));
   }
@@ -68,8 +94,36 @@
   sync(value: Sync): SyncAnswer;
   deliver(value: Deliver): Effect.Effect<Delivered>;
   word(value: Word): WordAnswer;
+  /** null: shards aren't known here. */
+  readonly shards: ShardHandlers | null;
+}
+
+/** What a controller that knows shards answers. */
+export interface ShardHandlers {
+  offer(value: ShardOffer): Effect.Effect<RefusalText>;
+  release(value: ReleaseRequest): Effect.Effect<RefusalText>;
+  operate(value: OperatorRequest): Effect.Effect<OperatorAnswer>;
 }
 
+/** The answer to a message about shards; null: there is no such path. */
+const shardAnswer = (
+  path: string | undefined,
+  body: Buffer,
+  handlers: ShardHandlers | null,
+): Effect.Effect<Buffer> | null => {
+  if (handlers === null) return null;
+  switch (path) {
+    case shardPaths.offer:
+      return Effect.map(handlers.offer(offerCodec.decode(body)), refusalCodec.encode);
+    case shardPaths.release:
+      return Effect.map(handlers.release(releaseCodec.decode(body)), refusalCodec.encode);
+    case shardPaths.operate:
+      return Effect.map(handlers.operate(operatorRequestCodec.decode(body)), operatorAnswerCodec.encode);
+    default:
+      return null;
+  }
+};
+
 export const servePeers = (bind: string, handlers: PeerHandlers): Effect.Effect<void, Error> => {
   const server = http.createServer((request, response) => {
     readBody(request, MAX_BODY, (body) => {
@@ -86,7 +140,11 @@
           Effect.runFork(
             Effect.map(handlers.deliver(deliverCodec.decode(body)), (d) => send(deliveredCodec.encode(d))),
           );
-        else response.writeHead(404).end();
+        else {
+          const answer = shardAnswer(request.url, body, handlers.shards);
+          if (answer === null) response.writeHead(404).end();
+          else Effect.runFork(Effect.map(answer, send));
+        }
       } catch {
         // not our protocol, or a message cut short
         response.writeHead(400).end();
--- /dev/null
+++ b/src/service/shards/move-log.ts
@@ -0,0 +1,86 @@
+/** How recent moves ended, and for how long a shard isn't tried again after a refusal. */
+import * as Duration from "effect/Duration";
+import { describeRefusal, type EndedAttempt, type MoveReason, type RequestedBy, type ShardId } from "#shards";
+import { type Instant, instant, passed, plus } from "../../core/time.js";
+
+const MAX_REMEMBERED = 200;
+const FIRST_PAUSE = Duration.seconds(2);
+const LONGEST_PAUSE = Duration.seconds(60);
+/** A shard that moved stays where it is for so long, unless its owner is to be emptied. */
+const REST = Duration.seconds(30);
+
+/** What became of a move, for operators. */
+export interface MoveOutcome {
+  readonly move: string;
+  readonly shard: ShardId;
+  readonly source: string;
+  readonly target: string;
+  readonly by: RequestedBy;
+  readonly outcome: "running" | "done" | "refused";
+  /** Why it was refused; empty otherwise. */
+  readonly reason: string;
+  readonly tookMs: number;
+}
+
+interface Pause {
+  readonly refusals: number;
+  readonly until: Instant;
+}
+
+/** The memory of one leader. */
+export class MoveLog {
+  private readonly outcomes = new Map<string, MoveOutcome>();
+  private readonly pauses = new Map<ShardId, Pause>();
+  private readonly movedAt = new Map<ShardId, Instant>();
+
+  /** A move began. */
+  began(outcome: MoveOutcome): void {
+    this.outcomes.set(outcome.move, outcome);
+    if (this.outcomes.size > MAX_REMEMBERED) this.outcomes.delete(this.outcomes.keys().next().value!);
+  }
+
+  /** A move ended. Each refusal of a shard doubles the pause before it is proposed again. */
+  ended(attempt: EndedAttempt, now: Instant): MoveOutcome {
+    const { request, refusal } = attempt;
+    const outcome: MoveOutcome = {
+      move: request.id,
+      shard: request.shard,
+      source: attempt.source,
+      target: request.target,
+      by: request.by,
+      outcome: refusal === null ? "done" : "refused",
+      reason: refusal === null ? "" : describeRefusal(refusal),
+      tookMs: Math.round(attempt.tookMs),
+    };
+    this.began(outcome);
+    if (refusal === null) {
+      this.movedAt.set(request.shard, now);
+      this.pauses.delete(request.shard);
+    } else this.refused(request.shard, now);
+    return outcome;
+  }
+
+  /** A move was refused before it began, or on its way. */
+  refused(shard: ShardId, now: Instant): void {
+    const refusals = (this.pauses.get(shard)?.refusals ?? 0) + 1;
+    const pause = Duration.min(LONGEST_PAUSE, Duration.times(FIRST_PAUSE, 2 ** Math.min(refusals - 1, 10)));
+    this.pauses.set(shard, { refusals, until: plus(now, pause) });
+  }
+
+  /** Whether the rebalancer leaves the shard alone for now. */
+  isBlocked(shard: ShardId, reason: MoveReason, now: Instant): boolean {
+    if (now < (this.pauses.get(shard)?.until ?? instant(-Infinity))) return true;
+    const at = this.movedAt.get(shard);
+    return reason === "balance" && at !== undefined && !passed(now, at, REST);
+  }
+
+  /** One move; undefined: this leader doesn't know it. */
+  outcomeOf(move: string): MoveOutcome | undefined {
+    return this.outcomes.get(move);
+  }
+
+  /** The latest moves, the newest first. */
+  latest(most: number): readonly MoveOutcome[] {
+    return [...this.outcomes.values()].reverse().slice(0, most);
+  }
+}
--- /dev/null
+++ b/src/service/shards/shard-leader.ts
@@ -0,0 +1,367 @@
+/** The leader's part in handoffs: brings the coordinator, the rebalancer and the core's facts together while it leads. */
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+import {
+  Coordinator,
+  type CoordinatorAction,
+  type CoordinatorInput,
+  type MoveRequest,
+  planMoves,
+  Refusal,
+  repairsOf,
+  type ShardId,
+  type ShardLoad,
+  weightOf,
+  type WriteOutcome,
+} from "#shards";
+import type { Machine } from "../../core/cluster.js";
+import { shardKeys } from "../../core/shard-keys.js";
+import type { Scheduler } from "../../core/scheduler.js";
+import { tokenOf } from "../../core/term.js";
+import { type Instant, passed } from "../../core/time.js";
+import { now } from "../../io/clock.js";
+import type { Log } from "../../io/log.js";
+import { parseRefusal, type SampleWorker } from "../../io/shard-codec.js";
+import type { StateClient } from "../../io/state-client.js";
+import type { Locked } from "../locked.js";
+import type { Membership } from "../membership.js";
+import type { Peers } from "../peers.js";
+import { MoveLog, type MoveOutcome } from "./move-log.js";
+import type { Rehearsal } from "./rehearsal.js";
+import { ShardLoads } from "./shard-loads.js";
+import type { ShardMember } from "./shard-member.js";
+import type { ShardView } from "./shard-view.js";
+import type { ShardWriter } from "./shard-writer.js";
+
+const STEP_EVERY = Duration.millis(100);
+const PLAN_EVERY = Duration.seconds(1);
+/** A process that is back within this needs no records: its machines hardly moved. */
+const REPAIR_AFTER = Duration.seconds(1);
+/** Moves by themselves wait until workers have found their controllers again after a change of term. */
+const CALM_AFTER = Duration.seconds(5);
+/** Workers that the target is to ask. */
+const SAMPLES = 3;
+
+export interface ShardLeaderOptions {
+  readonly me: string;
+  readonly movesAtOnce: number;
+  readonly hysteresis: number;
+  readonly reportEvery: Duration.Duration;
+  readonly txnOps: number;
+  readonly fence: Duration.Duration;
+}
+
+/** What exists only while this node leads. */
+interface Leading {
+  readonly scheduler: Locked<Scheduler>;
+  readonly coordinator: Coordinator;
+  readonly moves: MoveLog;
+  /** The shards whose machines got no commands at the last look. */
+  paused: ReadonlySet<ShardId>;
+  plannedAt: Instant | null;
+}
+
+/** The leader's side of handoffs. */
+export class ShardLeader {
+  private leading: Leading | null = null;
+  private readonly loads: ShardLoads;
+  private moveNumber = 0;
+
+  constructor(
+    private readonly options: ShardLeaderOptions,
+    private readonly view: ShardView,
+    private readonly writer: ShardWriter,
+    private readonly member: ShardMember,
+    private readonly membership: Membership,
+    private readonly state: StateClient,
+    private readonly peers: Peers,
+    private readonly rehearsal: Rehearsal | null,
+    private readonly log: Log,
+  ) {
+    this.loads = new ShardLoads(options.reportEvery);
+  }
+
+  /** This node leads from now on. */
+  begin(scheduler: Locked<Scheduler>): void {
+    const coordinator = new Coordinator();
+    this.leading = { scheduler, coordinator, moves: new MoveLog(), paused: new Set(), plannedAt: null };
+  }
+
+  /** This node doesn't lead any more. */
+  stop(): void {
+    this.leading = null;
+  }
+
+  /** Whether this node leads and may act. */
+  get isLeading(): boolean {
+    return this.leading !== null && this.membership.leads();
+  }
+
+  /** Whether no commands may be sent to a machine now. */
+  isPaused(machine: string, zone: string): boolean {
+    const { leading, view } = this;
+    if (leading === null || !this.mayBePaused(leading)) return false;
+    return leading.coordinator.isPaused(view.assignment, view.shardOf(machine, zone));
+  }
+
+  /** In quiet times no shard is, and then no hash is looked up. */
+  private mayBePaused(leading: Leading): boolean {
+    return leading.coordinator.size > 0 || leading.paused.size > 0 || this.view.assignment.hasHandoffs;
+  }
+
+  /** A batch of commands was sent to a machine. */
+  commandsSent(machine: string, zone: string): void {
+    this.loads.commandsSent(this.view.shardOf(machine, zone));
+  }
+
+  // --- moves -----------------------------------------------------------------------------------------------
+
+  /** Tries a move; the refusal, or the name under which its outcome is known. */
+  requestMove(shard: ShardId, target: string, by: MoveRequest["by"]): Refusal | string {
+    const { leading } = this;
+    if (leading === null || !this.membership.leads()) return Refusal.NotLeader({ member: this.options.me });
+    if (this.isDraining(target) && by !== "rehearsal") return Refusal.TargetDraining({ member: target });
+    const term = this.membership.term?.token ?? 0;
+    const id = `${this.options.me}-${this.membership.incarnation}-${term}-${++this.moveNumber}`;
+    const request: MoveRequest = { id, shard, target, by };
+    const answer = leading.coordinator.request(request, this.input(leading));
+    if ("_tag" in answer) {
+      if (by !== "operator") leading.moves.refused(shard, now());
+      return answer;
+    }
+    const source = this.view.assignment.ownershipOf(shard)?.owner ?? "";
+    leading.moves.began({ move: id, shard, source, target, by, outcome: "running", reason: "", tookMs: 0 });
+    this.carryOut(leading, answer);
+    return id;
+  }
+
+  /** Gives up a move of a shard. */
+  cancelMove(shard: ShardId): Refusal | null {
+    const { leading } = this;
+    if (leading === null) return Refusal.NotLeader({ member: this.options.me });
+    const answer = leading.coordinator.cancel(shard, this.input(leading));
+    if ("_tag" in answer) return answer;
+    this.carryOut(leading, answer);
+    return null;
+  }
+
+  /** What became of a move; undefined: this leader doesn't know it. */
+  outcomeOf(move: string): MoveOutcome | undefined {
+    return this.leading?.moves.outcomeOf(move);
+  }
+
+  /** The latest moves, the newest first. */
+  latestMoves(most: number): readonly MoveOutcome[] {
+    return this.leading?.moves.latest(most) ?? [];
+  }
+
+  /** Whether a controller's present process is to be emptied. */
+  isDraining(member: string): boolean {
+    const incarnation = this.view.drains.get(member);
+    const members = this.view.assignment.term?.members ?? [];
+    return members.some((m) => m.name === member && m.incarnation === incarnation);
+  }
+
+  /** The machines of each shard, as this leader knows them. */
+  machinesByShard(): ReadonlyMap<ShardId, readonly Machine[]> {
+    const byShard = new Map<ShardId, Machine[]>();
+    this.leading?.scheduler.with((scheduler) => {
+      for (const machine of scheduler.cluster.machines.values()) {
+        const shard = this.view.shardOf(machine.id, machine.zone);
+        const machines = byShard.get(shard);
+        if (machines === undefined) byShard.set(shard, [machine]);
+        else machines.push(machine);
+      }
+    });
+    return byShard;
+  }
+
+  private machinesOf(leading: Leading, shard: ShardId): readonly Machine[] {
+    return leading.scheduler.with((scheduler) =>
+      [...scheduler.cluster.machines.values()].filter((m) => this.view.shardOf(m.id, m.zone) === shard),
+    );
+  }
+
+  private input(leading: Leading): CoordinatorInput {
+    return {
+      now: now(),
+      assignment: this.view.assignment,
+      facts: (shard) => {
+        const machines = this.machinesOf(leading, shard);
+        return leading.scheduler.with((scheduler) => scheduler.drain.factsOf(machines));
+      },
+    };
+  }
+
+  // --- actions ---------------------------------------------------------------------------------------------
+
+  private carryOut(leading: Leading, actions: readonly CoordinatorAction[]): void {
+    for (const action of actions) this.carryOutOne(leading, action);
+  }
+
+  private carryOutOne(leading: Leading, action: CoordinatorAction): void {
+    switch (action.kind) {
+      case "offer":
+        return void Effect.runFork(this.offer(leading, action));
+      case "write":
+        return void Effect.runFork(this.write(leading, action));
+      case "release":
+        return void Effect.runFork(this.askRelease(leading, action));
+      case "raise": {
+        const machines = this.machinesOf(leading, action.shard);
+        return leading.scheduler.with((scheduler) => scheduler.drain.raiseTokens(machines));
+      }
+      case "ended": {
+        const outcome = leading.moves.ended(action.attempt, now());
+        return this.log.info({ ...outcome }, "a move of a shard ended");
+      }
+    }
+  }
+
+  /** Tells the coordinator, unless this node has stopped leading meanwhile. */
+  private tell(leading: Leading, answer: (input: CoordinatorInput) => readonly CoordinatorAction[]): void {
+    if (this.leading === leading) this.carryOut(leading, answer(this.input(leading)));
+  }
+
+  private sampleWorkers(leading: Leading, shard: ShardId): readonly SampleWorker[] {
+    const term = this.membership.term?.token ?? 0;
+    const samples: SampleWorker[] = [];
+    for (const { addr, session, step, releasing } of this.machinesOf(leading, shard)) {
+      if (addr === null || releasing !== null) continue;
+      samples.push({ addr, session: Math.max(1, session), token: tokenOf(term, step) });
+      if (samples.length >= SAMPLES) break;
+    }
+    return samples;
+  }
+
+  private offer(leading: Leading, { to, offer }: Extract<CoordinatorAction, { kind: "offer" }>) {
+    const message = { ...offer, workers: this.sampleWorkers(leading, offer.shard) };
+    const asked =
+      to === this.options.me
+        ? this.member.answerOffer(message)
+        : Effect.map(this.peers.offerShard(to, message), (answer) =>
+            answer === null ? undefined : parseRefusal(answer, to),
+          );
+    return Effect.map(
+      Effect.orElseSucceed(asked, () => undefined),
+      (answer) =>
+        this.tell(leading, (input) =>
+          leading.coordinator.offerAnswered(offer.shard, offer.id, answer, input),
+        ),
+    );
+  }
+
+  private askRelease(leading: Leading, { to, request }: Extract<CoordinatorAction, { kind: "release" }>) {
+    const asked =
+      to === this.options.me
+        ? this.member.answerRelease(request)
+        : Effect.map(this.peers.releaseShard(to, request), (answer) =>
+            answer === null ? undefined : parseRefusal(answer, to),
+          );
+    return Effect.map(
+      Effect.orElseSucceed(asked, () => undefined),
+      (answer) =>
+        this.tell(leading, (input) =>
+          leading.coordinator.releaseAnswered(request.shard, request.id, answer, input),
+        ),
+    );
+  }
+
+  private write(leading: Leading, { id, write }: Extract<CoordinatorAction, { kind: "write" }>) {
+    return Effect.map(this.writer.write([write]), (outcome: WriteOutcome) =>
+      this.tell(leading, (input) =>
+        leading.coordinator.writeAnswered(write.shard, id, write, outcome, input),
+      ),
+    );
+  }
+
+  // --- the loop --------------------------------------------------------------------------------------------
+
+  /** Shards whose machines may be given commands again. */
+  private resume(leading: Leading): void {
+    const { assignment } = this.view;
+    const handoffs = assignment.recorded().map(([shard]) => shard);
+    const candidates = new Set([...leading.paused, ...handoffs, ...leading.coordinator.shards()]);
+    const paused = new Set(
+      [...candidates].filter((shard) => leading.coordinator.isPaused(assignment, shard)),
+    );
+    for (const shard of leading.paused) {
+      if (paused.has(shard)) continue;
+      const machines = this.machinesOf(leading, shard);
+      leading.scheduler.with((scheduler) => scheduler.drain.resume(machines));
+    }
+    leading.paused = paused;
+  }
+
+  private readonly step = Effect.gen(this, function* () {
+    yield* Effect.sleep(STEP_EVERY);
+    const { leading } = this;
+    if (leading === null || !this.membership.leads()) return;
+    if (leading.coordinator.size > 0) this.carryOut(leading, leading.coordinator.step(this.input(leading)));
+    this.resume(leading);
+    const at = now();
+    if (!this.view.assignment.inForce) return;
+    if (leading.plannedAt !== null && !passed(at, leading.plannedAt, PLAN_EVERY)) return;
+    leading.plannedAt = at;
+    this.loads.second();
+    const counts = new Map([...this.machinesByShard()].map(([shard, machines]) => [shard, machines.length]));
+    yield* this.repair(leading, counts);
+    yield* this.forgetDrains;
+    if (this.leading !== leading) return;
+    if (passed(now(), this.view.termLearnedAt, Duration.max(CALM_AFTER, this.options.fence)))
+      this.plan(leading, this.loads.of(counts));
+  }).pipe(
+    Effect.catchAllCause((cause) =>
+      Effect.sync(() => this.log.error({ cause: cause.toString() }, "a step of the shards failed")),
+    ),
+  );
+
+  private repair(leading: Leading, counts: ReadonlyMap<ShardId, number>): Effect.Effect<void> {
+    if (!passed(now(), this.view.termLearnedAt, REPAIR_AFTER)) return Effect.void;
+    const isTried = (shard: ShardId): boolean => leading.coordinator.isBusy(shard);
+    const most = Math.max(1, Math.floor(this.options.txnOps / 2));
+    const writes = repairsOf(this.view.assignment, counts, isTried, most);
+    if (writes.length === 0) return Effect.void;
+    return Effect.map(this.writer.write(writes), (outcome) => {
+      this.log.info({ shards: writes.map((write) => write.shard), outcome }, "writes down owners of shards");
+    });
+  }
+
+  /** A drain ends with the process that it was for. */
+  private readonly forgetDrains = Effect.suspend(() => {
+    const members = this.view.assignment.term?.members ?? [];
+    const over = [...this.view.drains]
+      .filter(([name, incarnation]) => members.some((m) => m.name === name && m.incarnation !== incarnation))
+      .map(([name]) => ({ delete: shardKeys.drain(name) }));
+    if (over.length === 0) return Effect.void;
+    return Effect.ignore(this.state.commit([], over, "later"));
+  });
+
+  private plan(leading: Leading, loads: ReadonlyMap<ShardId, ShardLoad>): void {
+    this.rehearsal?.step(this, this.view.assignment, loads, now());
+    const draining = new Set([...this.view.drains.keys()].filter((name) => this.isDraining(name)));
+    const moves = planMoves({
+      assignment: this.view.assignment,
+      loads,
+      draining,
+      blocked: (shard, reason) =>
+        leading.coordinator.isBusy(shard) || leading.moves.isBlocked(shard, reason, now()),
+      hysteresis: this.options.hysteresis,
+      most: this.options.movesAtOnce - leading.coordinator.size,
+    });
+    for (const { shard, target, reason } of moves) this.requestMove(shard, target, reason);
+  }
+
+  /** The weight of each controller's shards. */
+  weights(): ReadonlyMap<string, number> {
+    const counts = new Map([...this.machinesByShard()].map(([shard, machines]) => [shard, machines.length]));
+    const weights = new Map<string, number>();
+    for (const [shard, load] of this.loads.of(counts)) {
+      const owner = this.view.assignment.ownershipOf(shard)?.owner;
+      if (owner !== undefined) weights.set(owner, (weights.get(owner) ?? 0) + weightOf(load));
+    }
+    return weights;
+  }
+
+  readonly run = Effect.forever(this.step);
+}
--- /dev/null
+++ b/src/service/shards/shard-loads.ts
@@ -0,0 +1,41 @@
+/** What each shard costs its owner, by what the leader sees. */
+import * as Duration from "effect/Duration";
+import type { ShardId, ShardLoad } from "#shards";
+
+/** The share of the newest second in the smoothed rate of commands. */
+const SMOOTHING = 0.1;
+
+/** Counts commands by shard; the rest follows from the machines. */
+export class ShardLoads {
+  private readonly sent = new Map<ShardId, number>();
+  private readonly rates = new Map<ShardId, number>();
+
+  constructor(private readonly reportEvery: Duration.Duration) {}
+
+  /** A batch of commands to a machine of the shard. */
+  commandsSent(shard: ShardId): void {
+    this.sent.set(shard, (this.sent.get(shard) ?? 0) + 1);
+  }
+
+  /** Another second is over. */
+  second(): void {
+    for (const shard of new Set([...this.sent.keys(), ...this.rates.keys()])) {
+      const before = this.rates.get(shard) ?? 0;
+      const rate = before + SMOOTHING * ((this.sent.get(shard) ?? 0) - before);
+      if (rate < 1e-3) this.rates.delete(shard);
+      else this.rates.set(shard, rate);
+    }
+    this.sent.clear();
+  }
+
+  /** The loads of shards with so many machines each. */
+  of(machines: ReadonlyMap<ShardId, number>): ReadonlyMap<ShardId, ShardLoad> {
+    const seconds = Duration.toSeconds(this.reportEvery);
+    return new Map(
+      [...machines].map(([shard, count]) => [
+        shard,
+        { machines: count, reportsPerSecond: count / seconds, commandsPerSecond: this.rates.get(shard) ?? 0 },
+      ]),
+    );
+  }
+}
--- /dev/null
+++ b/src/service/shards/shard-operator.ts
@@ -0,0 +1,198 @@
+/** What operators ask about shards: answered by the leader, which other controllers pass the question on to. */
+import * as Effect from "effect/Effect";
+import { describeRefusal, parseShardId, Refusal, type ShardId, type ShardState } from "#shards";
+import { shardKeys } from "../../core/shard-keys.js";
+import type { OperatorAnswer, OperatorRequest } from "../../io/shard-codec.js";
+import type { StateClient } from "../../io/state-client.js";
+import type { Membership } from "../membership.js";
+import type { Peers } from "../peers.js";
+import type { MoveOutcome } from "./move-log.js";
+import type { ShardLeader } from "./shard-leader.js";
+import type { ShardView } from "./shard-view.js";
+
+const OK = 200;
+const NOT_FOUND = 404;
+const REFUSED = 409;
+const UNAVAILABLE = 503;
+const LATEST_MOVES = 20;
+
+/** One shard as operators see it. */
+export interface ListedShard {
+  readonly shard: ShardId;
+  readonly owner: string | null;
+  readonly epoch: number;
+  readonly state: "default" | "owned" | "draining" | "released";
+  readonly target: string | null;
+  readonly machines: number;
+}
+
+/** One controller as operators see it. */
+export interface ListedController {
+  readonly name: string;
+  readonly zone: string;
+  readonly shards: number;
+  readonly machines: number;
+  /** Messages a second. */
+  readonly weight: number;
+  readonly draining: boolean;
+}
+
+/** The answer to `list`. */
+export interface ShardListing {
+  readonly answeredBy: string;
+  readonly leader: string | null;
+  readonly term: number;
+  readonly inForce: boolean;
+  readonly controllers: readonly ListedController[];
+  readonly shards: readonly ListedShard[];
+  readonly moves: readonly MoveOutcome[];
+}
+
+const answer = (status: number, value: unknown): OperatorAnswer => ({ status, body: JSON.stringify(value) });
+const refused = (refusal: Refusal): OperatorAnswer =>
+  answer(REFUSED, { refusal: refusal._tag, reason: describeRefusal(refusal) });
+
+const phaseOf = (state: ShardState | undefined): ListedShard["state"] => {
+  if (state === undefined) return "default";
+  return state._tag === "Owned" ? "owned" : state._tag === "Draining" ? "draining" : "released";
+};
+
+/** Answers operators' questions and carries out their commands. */
+export class ShardOperator {
+  constructor(
+    private readonly me: string,
+    private readonly view: ShardView,
+    private readonly leader: ShardLeader,
+    private readonly membership: Membership,
+    private readonly state: StateClient,
+    private readonly peers: Peers,
+  ) {}
+
+  /** A request that came to this controller's operators' socket. */
+  ask(request: OperatorRequest): Effect.Effect<OperatorAnswer> {
+    if (this.leader.isLeading) return this.answer(request);
+    const leader = this.membership.term?.leader;
+    const passedOn =
+      leader === undefined || leader === this.me
+        ? Effect.succeed(null)
+        : Effect.orElseSucceed(this.peers.operate(leader, request), () => null);
+    return Effect.flatMap(passedOn, (got) => {
+      if (got !== null) return Effect.succeed(got);
+      // what this node has read is better than nothing
+      if (request.verb === "list") return this.answer(request);
+      const why = describeRefusal(Refusal.NotLeader({ member: this.me }));
+      return Effect.succeed(answer(UNAVAILABLE, { refusal: "NotLeader", reason: why }));
+    });
+  }
+
+  /** A request that this node is to answer itself. */
+  answer(request: OperatorRequest): Effect.Effect<OperatorAnswer> {
+    switch (request.verb) {
+      case "list":
+        return Effect.sync(() => answer(OK, this.list()));
+      case "move":
+        return Effect.sync(() => this.move(request));
+      case "drain":
+        return this.drain(request.name);
+      case "cancel":
+        return this.cancel(request.name);
+      case "outcome": {
+        const outcome = this.leader.outcomeOf(request.name);
+        const unknown = { reason: `this leader knows no move ${request.name}` };
+        return Effect.succeed(outcome === undefined ? answer(NOT_FOUND, unknown) : answer(OK, outcome));
+      }
+    }
+  }
+
+  private list(): ShardListing {
+    const { assignment } = this.view;
+    const byShard = this.leader.machinesByShard();
+    const weights = this.leader.weights();
+    const known = new Set([...assignment.recorded().map(([shard]) => shard), ...byShard.keys()]);
+    const shards = [...known].sort().map((shard) => this.listed(shard, byShard.get(shard)?.length ?? 0));
+    const controllers = (assignment.term?.members ?? []).map(({ name, zone }): ListedController => {
+      const own = shards.filter((shard) => shard.owner === name);
+      return {
+        name,
+        zone,
+        shards: own.length,
+        machines: own.reduce((sum, shard) => sum + shard.machines, 0),
+        weight: Math.round((weights.get(name) ?? 0) * 100) / 100,
+        draining: this.leader.isDraining(name),
+      };
+    });
+    return {
+      answeredBy: this.me,
+      leader: this.membership.term?.leader ?? null,
+      term: assignment.term?.token ?? 0,
+      inForce: assignment.inForce,
+      controllers,
+      shards,
+      moves: this.leader.latestMoves(LATEST_MOVES),
+    };
+  }
+
+  private listed(shard: ShardId, machines: number): ListedShard {
+    const { assignment } = this.view;
+    const ownership = assignment.ownershipOf(shard);
+    const state = assignment.recordOf(shard)?.state;
+    const target = state === undefined || state._tag === "Owned" ? null : state.handoff.target;
+    return {
+      shard,
+      owner: ownership?.owner ?? null,
+      epoch: ownership?.epoch ?? 0,
+      state: phaseOf(state),
+      target,
+      machines,
+    };
+  }
+
+  private move({ name, target, epoch }: OperatorRequest): OperatorAnswer {
+    const { assignment } = this.view;
+    if (!assignment.inForce) return refused(Refusal.NotInForce());
+    const shard = this.knownShard(name);
+    if (shard === null) return refused(Refusal.UnknownShard({ shard: name }));
+    if (!assignment.isMember(target)) return refused(Refusal.UnknownMember({ member: target }));
+    const present = assignment.ownershipOf(shard)?.epoch ?? 0;
+    if (epoch >= 0 && epoch !== present) return refused(Refusal.WrongEpoch({ shard, epoch, present }));
+    const move = this.leader.requestMove(shard, target, "operator");
+    return typeof move === "string" ? answer(OK, { move, shard, target }) : refused(move);
+  }
+
+  /** A shard of a zone that the cluster has. */
+  private knownShard(name: string): ShardId | null {
+    const shard = parseShardId(name);
+    if (shard === null) return null;
+    const isKnown = this.list().shards.some((listed) => listed.shard === shard);
+    return isKnown ? shard : null;
+  }
+
+  private drain(member: string): Effect.Effect<OperatorAnswer> {
+    const { assignment } = this.view;
+    if (!assignment.inForce) return Effect.succeed(refused(Refusal.NotInForce()));
+    const members = assignment.term?.members ?? [];
+    const found = members.find(({ name }) => name === member);
+    if (found === undefined) return Effect.succeed(refused(Refusal.UnknownMember({ member })));
+    const staying = members.filter(({ name }) => name !== member && !this.leader.isDraining(name));
+    if (staying.length === 0) return Effect.succeed(refused(Refusal.NobodyLeft({ member })));
+    const put = { put: shardKeys.drain(member), value: { incarnation: found.incarnation } };
+    return this.write([put], { drain: member });
+  }
+
+  private cancel(name: string): Effect.Effect<OperatorAnswer> {
+    if (this.view.drains.has(name))
+      return this.write([{ delete: shardKeys.drain(name) }], { cancelled: name });
+    const shard = parseShardId(name);
+    const refusal = shard === null ? Refusal.NothingToCancel({ name }) : this.leader.cancelMove(shard);
+    return Effect.succeed(refusal === null ? answer(OK, { cancelled: name }) : refused(refusal));
+  }
+
+  private write(changes: Parameters<StateClient["commit"]>[1], done: object): Effect.Effect<OperatorAnswer> {
+    return this.state.commit([], changes).pipe(
+      Effect.map((result) =>
+        result.ok === true ? answer(OK, done) : answer(UNAVAILABLE, { reason: "the state service refused" }),
+      ),
+      Effect.catchAll((error) => Effect.succeed(answer(UNAVAILABLE, { reason: error.why }))),
+    );
+  }
+}
--- /dev/null
+++ b/src/service/shards/shard-view.ts
@@ -0,0 +1,181 @@
+/** What this process has read of shards: follows `shards/` in the state service, and the terms. */
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+import {
+  type Assignment,
+  Assignment as AssignmentClass,
+  Holder,
+  parseShardId,
+  type ShardChange,
+  type ShardId,
+  shardOf,
+  type StoredShard,
+} from "#shards";
+import type { TermRecord } from "../../core/records.js";
+import { shardKeys } from "../../core/shard-keys.js";
+import { type Instant, passed, stretched } from "../../core/time.js";
+import { now } from "../../io/clock.js";
+import type { Row } from "../../io/codec.js";
+import type { Log } from "../../io/log.js";
+import type { StateClient } from "../../io/state-client.js";
+import { Signal } from "../signal.js";
+
+const WATCH = Duration.seconds(10);
+const WATCH_GAP = Duration.millis(20);
+const RETRY = Duration.millis(300);
+/** For so long after a change of owner commands go by the new one, whoever passed on the machine's last report. */
+const SETTLING = Duration.seconds(10);
+/** Machines whose shard is remembered: the hash is made once for each. */
+const MAX_REMEMBERED = 20_000;
+
+/** A change under `shards/`; `value` undefined: the key was deleted. */
+interface KeyChange {
+  readonly key: string;
+  readonly stamp: number;
+  readonly value?: unknown;
+}
+
+/** The shards, drains and the verdict of the leader, as far as this process has read. */
+export class ShardView {
+  private current: Holder;
+  private learnedAt: Instant = now();
+  /** Controllers that are to be emptied, and which of their processes. */
+  readonly drains = new Map<string, number>();
+  private enabledTerm = 0;
+  private readonly movedAt = new Map<ShardId, Instant>();
+  private readonly shardOfMachine = new Map<string, ShardId>();
+  /** Poked whenever something changed. */
+  readonly changed = new Signal();
+
+  constructor(
+    me: string,
+    private readonly fence: Duration.Duration,
+    private readonly state: StateClient,
+    private readonly log: Log,
+  ) {
+    this.current = Holder.of(me, AssignmentClass.empty);
+  }
+
+  /** This controller's part, as of now. */
+  get holder(): Holder {
+    if (!this.current.isSettled && passed(now(), this.learnedAt, stretched(this.fence)))
+      this.current = this.current.settled();
+    return this.current;
+  }
+
+  /** Who owns what. */
+  get assignment(): Assignment {
+    return this.current.assignment;
+  }
+
+  /** When this process heard of the present term. */
+  get termLearnedAt(): Instant {
+    return this.learnedAt;
+  }
+
+  /** A new term, with the revision of its record. */
+  setTerm(term: TermRecord, stamp: number): void {
+    this.learnedAt = now();
+    this.replace(this.current.withTerm({ token: term.token, stamp, members: term.members }));
+  }
+
+  /** A release is about to be sent. */
+  releaseSent(write: Parameters<Holder["releaseSent"]>[0]): void {
+    this.current = this.current.releaseSent(write);
+  }
+
+  /** A record that this process wrote. */
+  written(shard: ShardId, stored: StoredShard): void {
+    this.replace(this.current.withAssignment(this.assignment.written(shard, stored)));
+  }
+
+  /** The shard that a machine belongs to. */
+  shardOf(machine: string, zone: string): ShardId {
+    const known = this.shardOfMachine.get(machine);
+    if (known !== undefined) return known;
+    const shard = shardOf(machine, zone);
+    if (this.shardOfMachine.size >= MAX_REMEMBERED) this.shardOfMachine.clear();
+    this.shardOfMachine.set(machine, shard);
+    return shard;
+  }
+
+  /**
+   * The owner of a machine; undefined: shards aren't in force. Right after a term began its records aren't read yet, and
+   * what was known before holds, since sending workers back and forth would serve nobody.
+   */
+  ownerOf(machine: string, zone: string): string | null | undefined {
+    const { assignment } = this;
+    const isUsed = assignment.inForce || (!assignment.isFresh && this.enabledTerm > 0);
+    return isUsed ? assignment.ownerOfMachine(machine, zone) : undefined;
+  }
+
+  /** The owner of a machine whose shard has just got it; null: commands go by whoever passes on its reports. */
+  newOwnerOf(machine: string, zone: string): string | null {
+    if (this.movedAt.size === 0 || !this.assignment.inForce) return null;
+    const shard = this.shardOf(machine, zone);
+    const at = this.movedAt.get(shard);
+    if (at === undefined || passed(now(), at, SETTLING)) return null;
+    return this.assignment.ownershipOf(shard)?.owner ?? null;
+  }
+
+  private replace(holder: Holder): void {
+    const before = this.assignment;
+    this.current = holder;
+    const at = now();
+    for (const shard of holder.assignment.changedSince(before)) {
+      const owner = holder.assignment.ownershipOf(shard)?.owner;
+      if (owner !== before.ownershipOf(shard)?.owner) this.movedAt.set(shard, at);
+    }
+    this.changed.poke();
+  }
+
+  private note(change: KeyChange, changes: ShardChange[]): void {
+    const { key, stamp, value } = change;
+    if (key === shardKeys.term) {
+      const token = (value as { token?: unknown } | undefined)?.token;
+      this.enabledTerm = typeof token === "number" ? token : 0;
+    } else if (key.startsWith(shardKeys.drains)) {
+      const member = key.slice(shardKeys.drains.length);
+      const incarnation = (value as { incarnation?: unknown } | undefined)?.incarnation;
+      if (typeof incarnation === "number") this.drains.set(member, incarnation);
+      else this.drains.delete(member);
+    } else if (key.startsWith(shardKeys.owners)) {
+      const shard = parseShardId(key.slice(shardKeys.owners.length));
+      if (shard === null) this.log.warn({ key }, "a record of no shard");
+      else changes.push(value === undefined ? { shard, stamp } : { shard, stamp, value });
+    }
+  }
+
+  private reread(rows: readonly Row[], revision: number): void {
+    this.drains.clear();
+    this.enabledTerm = 0;
+    const changes: ShardChange[] = [];
+    for (const row of rows) this.note(row, changes);
+    const assignment = this.assignment.reread(changes, this.enabledTerm, revision);
+    this.replace(this.current.withAssignment(assignment));
+  }
+
+  private update(events: readonly KeyChange[], revision: number): void {
+    const changes: ShardChange[] = [];
+    for (const event of events) this.note(event, changes);
+    const assignment = this.assignment.changed(changes, this.enabledTerm, revision);
+    this.replace(this.current.withAssignment(assignment));
+  }
+
+  /** Follows the records for ever. */
+  readonly run = Effect.gen(this, function* () {
+    const list = yield* this.state.list(shardKeys.all);
+    this.reread(list.rows, list.revision);
+    let { revision } = list;
+    for (;;) {
+      const got = yield* this.state.watch(shardKeys.all, revision, WATCH);
+      revision = got.revision;
+      this.update(got.events, revision);
+      yield* Effect.sleep(WATCH_GAP);
+    }
+  }).pipe(
+    Effect.catchAll(() => Effect.void),
+    Effect.zipRight(Effect.sleep(RETRY)),
+    Effect.forever,
+  );
+}
--- /dev/null
+++ b/src/service/shards/shard-writer.ts
@@ -0,0 +1,47 @@
+/** Carries out the conditional writes of shard records. */
+import * as Effect from "effect/Effect";
+import { encodeShardState, type ShardWrite, type WriteOutcome } from "#shards";
+import { keys } from "../../core/records.js";
+import { shardKeys } from "../../core/shard-keys.js";
+import type { Log } from "../../io/log.js";
+import type { StateClient } from "../../io/state-client.js";
+import { RejectionBackoff } from "../rejection-backoff.js";
+import type { ShardView } from "./shard-view.js";
+
+/** Writes that rest on the records and the term as they were read. */
+export class ShardWriter {
+  private readonly rejections: RejectionBackoff;
+
+  constructor(
+    private readonly state: StateClient,
+    private readonly view: ShardView,
+    log: Log,
+  ) {
+    this.rejections = new RejectionBackoff(log);
+  }
+
+  /** All of these writes, which are of one term, or none. What isn't answered may be carried out yet. */
+  write(writes: readonly ShardWrite[]): Effect.Effect<WriteOutcome> {
+    const [first] = writes;
+    if (first === undefined) return Effect.succeed("written");
+    const conditions = [
+      { key: keys.term, stamp: first.termStamp },
+      ...writes.map(({ shard, stamp }) => ({ key: shardKeys.owner(shard), stamp })),
+    ];
+    const changes = writes.map(({ shard, state }) => ({
+      put: shardKeys.owner(shard),
+      value: encodeShardState(state),
+    }));
+    return this.state.commit(conditions, changes).pipe(
+      Effect.flatMap((result): Effect.Effect<WriteOutcome> => {
+        if (result.ok === null)
+          return Effect.as(Effect.sleep(this.rejections.refused("shards", result.error)), "unknown");
+        this.rejections.accepted("shards");
+        if (!result.ok) return Effect.succeed("failed");
+        for (const { shard, state } of writes) this.view.written(shard, { stamp: result.revision, state });
+        return Effect.succeed("written");
+      }),
+      Effect.catchAll(() => Effect.succeed("unknown" as const)),
+    );
+  }
+}
--- /dev/null
+++ b/src/service/shards/shards.ts
@@ -0,0 +1,129 @@
+/** Explicit ownership of machines in one controller, wired together. Exists only where the settings turn it on. */
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+import { SHARDS_PER_ZONE } from "#shards";
+import type { TermMember } from "../../core/records.js";
+import { shardKeys } from "../../core/shard-keys.js";
+import type { MachineOwnership } from "../../core/scheduler-context.js";
+import type { Spans } from "../../core/term.js";
+import type { OwnerLookup } from "../../core/worker-partition.js";
+import type { Change } from "../../io/codec.js";
+import type { Log } from "../../io/log.js";
+import type { ShardSettings } from "../../io/settings.js";
+import { refusalText } from "../../io/shard-codec.js";
+import type { StateClient, StateError } from "../../io/state-client.js";
+import type { WorkerClient } from "../../io/worker-client.js";
+import type { Membership, MembershipExtension } from "../membership.js";
+import type { Peers, ShardHandlers } from "../peers.js";
+import { Rehearsal } from "./rehearsal.js";
+import { ShardLeader } from "./shard-leader.js";
+import { ShardMember } from "./shard-member.js";
+import { ShardOperator } from "./shard-operator.js";
+import { ShardView } from "./shard-view.js";
+import { ShardWriter } from "./shard-writer.js";
+
+/** What a process says of itself: members use shards only if all of them divide the machines alike. */
+interface Announcement {
+  readonly version: number;
+  readonly shards_per_zone: number;
+}
+const ANNOUNCEMENT: Announcement = { version: 1, shards_per_zone: SHARDS_PER_ZONE };
+
+const isSame = (value: unknown): boolean => {
+  const { version, shards_per_zone } = (value ?? {}) as Partial<Announcement>;
+  return version === ANNOUNCEMENT.version && shards_per_zone === ANNOUNCEMENT.shards_per_zone;
+};
+
+/** The announcement beside the member key, and the leader's verdict beside the term. */
+export const shardExtension = (me: string, state: StateClient): MembershipExtension => ({
+  announcement: (permit): Change[] => [{ put: shardKeys.member(me), value: ANNOUNCEMENT, permit }],
+  withTerm: (token, members: readonly TermMember[]): Effect.Effect<Change[], StateError> =>
+    Effect.map(state.list(shardKeys.members), ({ rows }) => {
+      const announced = new Map(rows.map((row) => [row.key.slice(shardKeys.members.length), row]));
+      // written in the same transaction as the member key, so it has the same stamp
+      const all = members.every(({ name, incarnation }) => {
+        const row = announced.get(name);
+        return row?.stamp === incarnation && isSame(row.value);
+      });
+      return all ? [{ put: shardKeys.term, value: { token } }] : [];
+    }),
+});
+
+export interface ShardOptions {
+  readonly me: string;
+  readonly settings: ShardSettings;
+  readonly spans: Spans;
+  readonly txnOps: number;
+  readonly freeConnections: () => number;
+}
+
+/** What the rest of the controller sees of shards. */
+export class Shards {
+  readonly view: ShardView;
+  readonly leader: ShardLeader;
+  readonly operator: ShardOperator;
+  private readonly member: ShardMember;
+
+  constructor(
+    options: ShardOptions,
+    membership: Membership,
+    state: StateClient,
+    workers: WorkerClient,
+    peers: Peers,
+    log: Log,
+  ) {
+    const { me, settings, spans, txnOps } = options;
+    this.view = new ShardView(me, spans.fence, state, log);
+    const writer = new ShardWriter(state, this.view, log);
+    this.member = new ShardMember(this.view, writer, membership, workers, options.freeConnections, log);
+    const every = settings.rehearseEvery;
+    this.leader = new ShardLeader(
+      {
+        me,
+        movesAtOnce: settings.movesAtOnce,
+        hysteresis: settings.hysteresis,
+        reportEvery: spans.reportEvery,
+        txnOps,
+        fence: spans.fence,
+      },
+      this.view,
+      writer,
+      this.member,
+      membership,
+      state,
+      peers,
+      every === null ? null : new Rehearsal(every, me, state),
+      log,
+    );
+    this.operator = new ShardOperator(me, this.view, this.leader, membership, state, peers);
+  }
+
+  /** Who answers a machine's reports; the rendezvous owner where shards aren't in force. */
+  ownerLookup(otherwise: OwnerLookup): OwnerLookup {
+    return (term, machine, zone) => {
+      const owner = this.view.ownerOf(machine, zone);
+      return owner === undefined ? otherwise(term, machine, zone) : owner;
+    };
+  }
+
+  /** What the leader's core asks. */
+  readonly ownership: MachineOwnership = {
+    isPaused: (machine, zone) => this.leader.isPaused(machine, zone),
+    wayTo: (machine, zone) => this.view.newOwnerOf(machine, zone),
+  };
+
+  /** What other controllers ask. */
+  readonly handlers: ShardHandlers = {
+    offer: (offer) => Effect.map(this.member.answerOffer(offer), refusalText),
+    release: (request) => Effect.map(this.member.answerRelease(request), refusalText),
+    operate: (request) => this.operator.answer(request),
+  };
+
+  /** Runs for ever. */
+  get run(): Effect.Effect<void> {
+    return Effect.all([this.view.run, this.member.run, this.leader.run], {
+      concurrency: "unbounded",
+      discard: true,
+    }).pipe(Effect.delay(Duration.zero));
+  }
+}
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -44,6 +44,14 @@
   assert.match(result.stdout, /^ok: one in east/);
 });
 
+test("shards and the operators' socket are off by default, and deploy/shards.json turns both on", () => {
+  const load = (settings?: string) => loadSettings(file("shards.json", platform), settings).operator;
+  assert.deepEqual(load().shards, { enabled: false, movesAtOnce: 2, hysteresis: 0.3, rehearseEvery: null });
+  assert.equal(load().operatorsSocket, null);
+  const on = load(join(ROOT, "deploy/shards.json"));
+  assert.deepEqual([on.shards.enabled, on.operatorsSocket], [true, "127.0.0.1:7070"]);
+});
+
 test("limits to come: each may be missing or null, and sizes hold at both", () => {
   const load = (next: unknown) =>
     loadSettings(
@@ -91,6 +99,18 @@
       ["check", "--config", file("c.json", platform), "--settings", file("d.json", { idel_s: 5 })],
       /d\.json: .*idel_s/,
     ],
+    ...[
+      [{ shards: { moves_at_once: 0 } }, /shards\.moves_at_once must be >= 1/],
+      [{ shards: { hysteresis: 9 } }, /shards\.hysteresis must be <= 5/],
+      [{ shards: { enabled: "yes" } }, /shards\.enabled must be boolean/],
+      [{ shards: { enabeld: true } }, /shards .*enabeld/],
+      [{ operators_socket: "10.0.0.1:7070" }, /operators_socket must match/],
+      [{ operators_socket: "0.0.0.0:7070" }, /operators_socket must match/],
+    ].map(([own, expected], i): [string, string[], RegExp] => [
+      `shards ${i}`,
+      ["check", "--config", file("c.json", platform), "--settings", file(`shards-${i}.json`, own)],
+      expected as RegExp,
+    ]),
     ["run as well", ["--config", file("e.json", {})], /e\.json: /],
   ];
   for (const [name, args, expected] of bad) {
--- a/test/controller-process.ts
+++ b/test/controller-process.ts
@@ -6,7 +6,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 
-const MAIN = new URL("../../main.js", import.meta.url).pathname;
+/** The program. */
+export const MAIN = new URL("../../main.js", import.meta.url).pathname;
 const ATTEMPTS = 1200;
 const ATTEMPT_EVERY_MS = 50;
 
--- a/test/releases.test.ts
+++ b/test/releases.test.ts
@@ -14,6 +14,7 @@
 import * as Duration from "effect/Duration";
 import { RangeSet } from "../src/core/ranges.js";
 import { keys, type MachineRecord } from "../src/core/records.js";
+import { shardKeys } from "../src/core/shard-keys.js";
 import {
   acceptedOf,
   jobRecord,
@@ -139,6 +140,15 @@
     assert.ok(single.includes(key) || [...prefixes, ...byId].some((p) => key.startsWith(p)), key);
 });
 
+test("no earlier version lists, watches or reads the keys of shards", () => {
+  for (const key of Object.values(shardKeys).map((x) => (typeof x === "string" ? x : x("north"))))
+    for (const release of ["production", "last"] as const) {
+      const { prefixes, single, byId } = schemas[release].keys;
+      assert.ok(key.startsWith(shardKeys.all), key);
+      assert.ok(!single.includes(key) && ![...prefixes, ...byId].some((p) => key.startsWith(p)), key);
+    }
+});
+
 test("messages have the Avro names of both releases, in their order", () => {
   for (const type of MESSAGES)
     for (const release of ["production", "last"] as const)
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -272,6 +272,7 @@
 export class WorkerStandIn extends StandIn {
   private tally = 0;
   private baton = 0;
+  private node = 0;
   private readonly chores = new Map<string, { chore: string; try: number; status: string; cause?: string }>();
   private timer: NodeJS.Timeout | null = null;
   readonly starts: string[] = [];
@@ -308,16 +309,20 @@
     };
   }
 
+  /** Reports to one controller of those that `front` names; goes on to the next one when it is of no use. */
   private async handleReport(): Promise<void> {
+    const fronts = this.front().split(",");
     try {
-      const response = await fetch(`http://${this.front()}/agent/beat`, {
+      const response = await fetch(`http://${fronts[this.node % fronts.length]}/agent/beat`, {
         method: "POST",
         body: JSON.stringify(this.report()),
       });
       if (response.status === 200)
         this.baton = Math.max(this.baton, ((await response.json()) as { baton: number }).baton);
+      else this.node++;
     } catch {
-      // the node is down: try again
+      // the node is down: try another
+      this.node++;
     }
   }
 
@@ -330,9 +335,10 @@
       const key = `${o.chore}#${o.try}`;
       const chore = this.chores.get(key);
       if (o.verb === "reap") this.chores.delete(key);
-      else if (o.verb === "halt" && chore !== undefined)
+      else if (o.verb === "halt" && chore?.status === "running") {
+        this.events.push(`stopped ${o.chore}`);
         Object.assign(chore, { status: "ended", cause: "stopped" });
-      else if (o.verb === "start" && chore === undefined) {
+      } else if (o.verb === "start" && chore === undefined) {
         this.starts.push(o.chore);
         this.events.push(`start ${o.chore}`);
         const started: { chore: string; try: number; status: string; cause?: string } = {
@@ -343,6 +349,7 @@
         this.chores.set(key, started);
         if (!o.chore.split("/")[0]!.endsWith("9"))
           setTimeout(() => {
+            if (started.status !== "running") return;
             this.events.push(`done ${o.chore}`);
             Object.assign(started, { status: "ended", cause: "done" });
           }, 50);
