--- a/test/standins.ts
+++ b/test/standins.ts
@@ -273,6 +273,10 @@
   private tally = 0;
   private baton = 0;
   private node = 0;
+  private answeredAt: number | null = null;
+  /** The longest time between two answered reports, and how often it was sent to another controller. */
+  longestGapMs = 0;
+  redirects = 0;
   private readonly chores = new Map<string, { chore: string; try: number; status: string; cause?: string }>();
   private timer: NodeJS.Timeout | null = null;
   readonly starts: string[] = [];
@@ -317,9 +321,13 @@
         method: "POST",
         body: JSON.stringify(this.report()),
       });
-      if (response.status === 200)
+      if (response.status === 421) this.redirects++;
+      if (response.status !== 200) this.node++;
+      else {
         this.baton = Math.max(this.baton, ((await response.json()) as { baton: number }).baton);
-      else this.node++;
+        this.longestGapMs = Math.max(this.longestGapMs, Date.now() - (this.answeredAt ?? Date.now()));
+        this.answeredAt = Date.now();
+      }
     } catch {
       // the node is down: try another
       this.node++;
