Refusals arrive between controllers as they were given; the target asks workers that answer

The refusals themselves came from machines that were still booting. Ruled out: slow answers (the logs show one second, the time of a question to a worker). Change: known tags are the keys of the sentences; samples are machines that were heard.

--- a/packages/shards/src/refusal.ts
+++ b/packages/shards/src/refusal.ts
@@ -46,32 +46,43 @@
 /** Constructors and matchers of `Refusal`. */
 export const Refusal = Data.taggedEnum<Refusal>();
 
+/** A sentence for each reason. */
+const SENTENCES: { readonly [Tag in Refusal["_tag"]]: (refusal: Extract<Refusal, { _tag: Tag }>) => string } =
+  {
+    NotInForce: () => "shards are not in force: not every controller of the term uses them",
+    UnknownShard: ({ shard }) => `there is no shard ${shard}`,
+    UnknownMember: ({ member }) => `there is no controller ${member} in the term`,
+    WrongEpoch: ({ shard, epoch, present }) => `shard ${shard} is in epoch ${present}, not ${epoch}`,
+    SameOwner: ({ shard, member }) => `${member} owns shard ${shard} already`,
+    InHandoff: ({ shard }) => `a handoff of shard ${shard} is under way`,
+    NothingToCancel: ({ name }) => `no handoff or drain of ${name} is under way`,
+    TargetDraining: ({ member }) => `${member} is being drained`,
+    NobodyLeft: ({ member }) => `no other controller could take the shards of ${member}`,
+    CommandInDoubt: ({ machine }) => `a command to machine ${machine} has no answer yet`,
+    MachineNotHeard: ({ machine }) => `machine ${machine} has not answered under the present token yet`,
+    GangAssembling: ({ job }) => `gang ${job} is being assembled on a machine of the shard`,
+    GangSaving: ({ job }) => `gang ${job} is saving on a machine of the shard`,
+    TargetOutsideWindow: ({ member }) => `${member} may not act at present: it is outside its fence window`,
+    WorkersNotHeard: ({ member }) => `${member} does not reach the workers of the shard`,
+    TooManyConnections: ({ member, free, needed }) =>
+      `${member} has room for ${free} more connections, and the shard needs ${needed}`,
+    NotHolder: ({ member, shard, epoch }) => `${member} does not hold shard ${shard} in epoch ${epoch}`,
+    NoAnswer: ({ member }) => `${member} did not answer`,
+    NotWritten: ({ shard }) =>
+      `the state service did not answer the write that begins the handoff of shard ${shard}`,
+    Overtaken: ({ shard }) => `the record of shard ${shard} changed meanwhile`,
+    NotTaken: ({ member }) => `${member} did not take the shard in time; its earlier owner has it again`,
+    TermChanged: ({ shard }) => `the term changed during the handoff of shard ${shard}`,
+    Cancelled: ({ shard }) => `the handoff of shard ${shard} was cancelled`,
+    NotLeader: ({ member }) => `${member} does not lead, and the leader could not be reached`,
+  };
+const KNOWN_TAGS: ReadonlySet<string> = new Set(Object.keys(SENTENCES));
+
 /** One sentence for operators. */
-export const describeRefusal: (refusal: Refusal) => string = Refusal.$match({
-  NotInForce: () => "shards are not in force: not every controller of the term uses them",
-  UnknownShard: ({ shard }) => `there is no shard ${shard}`,
-  UnknownMember: ({ member }) => `there is no controller ${member} in the term`,
-  WrongEpoch: ({ shard, epoch, present }) => `shard ${shard} is in epoch ${present}, not ${epoch}`,
-  SameOwner: ({ shard, member }) => `${member} owns shard ${shard} already`,
-  InHandoff: ({ shard }) => `a handoff of shard ${shard} is under way`,
-  NothingToCancel: ({ name }) => `no handoff or drain of ${name} is under way`,
-  TargetDraining: ({ member }) => `${member} is being drained`,
-  NobodyLeft: ({ member }) => `no other controller could take the shards of ${member}`,
-  CommandInDoubt: ({ machine }) => `a command to machine ${machine} has no answer yet`,
-  MachineNotHeard: ({ machine }) => `machine ${machine} has not answered under the present token yet`,
-  GangAssembling: ({ job }) => `gang ${job} is being assembled on a machine of the shard`,
-  GangSaving: ({ job }) => `gang ${job} is saving on a machine of the shard`,
-  TargetOutsideWindow: ({ member }) => `${member} may not act at present: it is outside its fence window`,
-  WorkersNotHeard: ({ member }) => `${member} does not reach the workers of the shard`,
-  TooManyConnections: ({ member, free, needed }) =>
-    `${member} has room for ${free} more connections, and the shard needs ${needed}`,
-  NotHolder: ({ member, shard, epoch }) => `${member} does not hold shard ${shard} in epoch ${epoch}`,
-  NoAnswer: ({ member }) => `${member} did not answer`,
-  NotWritten: ({ shard }) =>
-    `the state service did not answer the write that begins the handoff of shard ${shard}`,
-  Overtaken: ({ shard }) => `the record of shard ${shard} changed meanwhile`,
-  NotTaken: ({ member }) => `${member} did not take the shard in time; its earlier owner has it again`,
-  TermChanged: ({ shard }) => `the term changed during the handoff of shard ${shard}`,
-  Cancelled: ({ shard }) => `the handoff of shard ${shard} was cancelled`,
-  NotLeader: ({ member }) => `${member} does not lead, and the leader could not be reached`,
-});
+export const describeRefusal: (refusal: Refusal) => string = Refusal.$match(SENTENCES);
+
+/** Whether something that came from elsewhere is a refusal that this version knows. */
+export const isRefusal = (value: unknown): value is Refusal => {
+  const tag = (value as { _tag?: unknown } | null)?._tag;
+  return typeof tag === "string" && KNOWN_TAGS.has(tag);
+};
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -19,8 +19,13 @@
   request.on("error", () => undefined);
 };
 
-export const listen = (server: http.Server, bind: string, connections: number): Effect.Effect<void, Error> =>
-  Effect.async((resume: (result: Effect.Effect<void, Error>) => void) => {
+/** Listens at an address; the server, so that whoever started it can close it. */
+export const listen = (
+  server: http.Server,
+  bind: string,
+  connections: number,
+): Effect.Effect<http.Server, Error> =>
+  Effect.async((resume: (result: Effect.Effect<http.Server, Error>) => void) => {
     const colon = bind.lastIndexOf(":");
     server.keepAliveTimeout = 75_000;
     server.headersTimeout = 80_000;
@@ -29,6 +34,6 @@
     server.on("clientError", (_error, socket) => socket.destroy());
     server.once("error", (error) => resume(Effect.fail(error)));
     server.listen({ host: bind.slice(0, colon), port: Number(bind.slice(colon + 1)), backlog: 511 }, () =>
-      resume(Effect.void),
+      resume(Effect.succeed(server)),
     );
   });
--- a/src/io/shard-codec.ts
+++ b/src/io/shard-codec.ts
@@ -1,5 +1,5 @@
 /** What controllers say to one another about shards, in Avro. Earlier versions know none of these paths and answer 404. */
-import { type Offer, Refusal, type ReleaseRequest } from "#shards";
+import { isRefusal, type Offer, Refusal, type ReleaseRequest } from "#shards";
 import { array, codec, record } from "./peer-codec.js";
 
 /** A worker of the shard, for the target to ask. */
@@ -73,9 +73,8 @@
 export const parseRefusal = ({ refusal }: RefusalText, member: string): Refusal | null => {
   if (refusal === "") return null;
   try {
-    const value = JSON.parse(refusal) as { _tag?: unknown };
-    const known = typeof value._tag === "string" && value._tag !== "$match" && value._tag in Refusal;
-    if (known) return value as Refusal;
+    const value: unknown = JSON.parse(refusal);
+    if (isRefusal(value)) return value;
   } catch {
     // not JSON: answered below
   }
--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -80,7 +80,7 @@
     private readonly log: Log,
   ) {}
 
-  serve(): Effect.Effect<void, Error> {
+  serve(): Effect.Effect<http.Server, Error> {
     const server = http.createServer((request, response) => {
       const url = request.url ?? "";
       if (url === paths.beat && request.method === "POST") this.handleReport(request, response);
--- a/src/service/operators-server.ts
+++ b/src/service/operators-server.ts
@@ -41,7 +41,7 @@
 export const serveOperators = (
   bind: string,
   ask: (request: OperatorRequest) => Effect.Effect<OperatorAnswer>,
-): Effect.Effect<void, Error> => {
+): Effect.Effect<http.Server, Error> => {
   const server = http.createServer((request, response) => {
     readBody(request, MAX_BODY, (body) => {
       const send = ({ status, body: text }: OperatorAnswer): void => {
--- a/src/service/peers.ts
+++ b/src/service/peers.ts
@@ -124,7 +124,7 @@
   }
 };
 
-export const servePeers = (bind: string, handlers: PeerHandlers): Effect.Effect<void, Error> => {
+export const servePeers = (bind: string, handlers: PeerHandlers): Effect.Effect<http.Server, Error> => {
   const server = http.createServer((request, response) => {
     readBody(request, MAX_BODY, (body) => {
       if (body === null) return void response.writeHead(400).end();
--- a/src/service/shards/shard-leader.ts
+++ b/src/service/shards/shard-leader.ts
@@ -226,8 +226,10 @@
   private sampleWorkers(leading: Leading, shard: ShardId): readonly SampleWorker[] {
     const term = this.membership.term?.token ?? 0;
     const samples: SampleWorker[] = [];
-    for (const { addr, session, step, releasing } of this.machinesOf(leading, shard)) {
-      if (addr === null || releasing !== null) continue;
+    for (const { addr, session, step, confirmed, heard, unanswered } of this.machinesOf(leading, shard)) {
+      // one that is still booting, or silent, says nothing about the target
+      const isAnswering = confirmed && heard !== null && unanswered === 0;
+      if (addr === null || !isAnswering) continue;
       samples.push({ addr, session: Math.max(1, session), token: tokenOf(term, step) });
       if (samples.length >= SAMPLES) break;
     }
