A controller goes on without its operators' socket; stand-in workers go where they are sent

And stand-in workers were answered by whoever they met first: fetch asks again by itself after a 421, and who comes back is taken in, so the loopback test never saw a worker change its controller. Ruled out: another default port (any may be taken). Change: a socket that can't be bound is logged; stand-ins use Node's http and follow the name in a 421.

--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -164,8 +164,16 @@
       shards: shards?.handlers ?? null,
     });
     const { operatorsSocket } = settings.operator;
+    // scheduling goes on without it: an operator can ask another controller
     if (operatorsSocket !== null)
-      yield* serveOperators(operatorsSocket, shards === null ? shardsAreOff : (r) => shards.operator.ask(r));
+      yield* serveOperators(
+        operatorsSocket,
+        shards === null ? shardsAreOff : (r) => shards.operator.ask(r),
+      ).pipe(
+        Effect.catchAll((error) =>
+          Effect.sync(() => log.error({ why: error.message, operatorsSocket }, "no operators' socket")),
+        ),
+      );
     yield* front.serve();
     log.info({ front: settings.front, peers: settings.peerBind }, "listening");
     yield* Effect.all([membership.run, mirror.run, member.run, leader.run, shards?.run ?? Effect.void], {
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -1,10 +1,12 @@
 import assert from "node:assert/strict";
-import { spawnSync } from "node:child_process";
+import { spawn, spawnSync } from "node:child_process";
 import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
 import { loadSettings } from "../src/io/settings.js";
+import { freePort, until } from "./controller-process.js";
 
 const MAIN = new URL("../../main.js", import.meta.url).pathname;
 const ROOT = new URL("../../../", import.meta.url).pathname;
@@ -121,6 +123,25 @@
   }
 });
 
+test("a controller whose operators' socket is taken runs on without it", async () => {
+  const taken = createServer().listen(0, "127.0.0.1");
+  await new Promise((done) => taken.once("listening", done));
+  const { port } = taken.address() as AddressInfo;
+  const own = file("taken.json", { operators_socket: `127.0.0.1:${port}` });
+  const addresses = { front: `127.0.0.1:${await freePort()}`, peer_bind: `127.0.0.1:${await freePort()}` };
+  const config = file("socket.json", { ...platform, ...addresses });
+  const child = spawn(process.execPath, [MAIN, "--config", config, "--settings", own], {
+    env: { ...process.env, LOG_LEVEL: "info" },
+  });
+  let log = "";
+  child.stderr.on("data", (chunk: Buffer) => (log += chunk.toString()));
+  await until("it listens", () => log.includes('"msg":"listening"'));
+  assert.match(log, /no operators' socket/);
+  assert.equal(child.exitCode, null);
+  child.kill("SIGKILL");
+  taken.close();
+});
+
 test("help, version and the published schema", () => {
   assert.match(run("--help").stdout, /Usage: indigowick/);
   const version = (JSON.parse(readFileSync(join(ROOT, "package.json"), "utf8")) as { version: string })
--- a/test/loopback-cluster.ts
+++ b/test/loopback-cluster.ts
@@ -30,7 +30,9 @@
 /** The controllers, the state service, the cloud with its workers, and a user. */
 export class LoopbackCluster {
   readonly state = new StateStandIn();
-  readonly cloud = new CloudStandIn(() => [...this.controllers.values()].map((c) => c.front).join(","));
+  readonly cloud = new CloudStandIn(() =>
+    [...this.controllers].map(([name, { front }]) => `${name}=${front}`).join(","),
+  );
   private readonly controllers = new Map<Name, Controller>();
 
   async start(machines: number): Promise<void> {
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -11,6 +11,22 @@
   return text === "" ? {} : (JSON.parse(text) as Json);
 };
 
+/** A request with a connection of its own; null: no answer. */
+const post = (url: string, text: string): Promise<{ status: number; text: string } | null> =>
+  new Promise((done) => {
+    const request = http.request(url, { method: "POST", agent: false, timeout: 4000 }, (response) => {
+      const chunks: Buffer[] = [];
+      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      response.on("end", () =>
+        done({ status: response.statusCode ?? 0, text: Buffer.concat(chunks).toString() }),
+      );
+      response.on("error", () => done(null));
+    });
+    request.on("timeout", () => request.destroy());
+    request.on("error", () => done(null));
+    request.end(text);
+  });
+
 abstract class StandIn {
   readonly server: http.Server;
   addr = "";
@@ -313,25 +329,24 @@
     };
   }
 
-  /** Reports to one controller of those that `front` names; goes on to the next one when it is of no use. */
+  /** Reports to one of the controllers, `NAME=ADDRESS` each or a single address; goes where it is sent, else to the next. */
   private async handleReport(): Promise<void> {
-    const fronts = this.front().split(",");
-    try {
-      const response = await fetch(`http://${fronts[this.node % fronts.length]}/agent/beat`, {
-        method: "POST",
-        body: JSON.stringify(this.report()),
-      });
-      if (response.status === 421) this.redirects++;
-      if (response.status !== 200) this.node++;
-      else {
-        this.baton = Math.max(this.baton, ((await response.json()) as { baton: number }).baton);
-        this.longestGapMs = Math.max(this.longestGapMs, Date.now() - (this.answeredAt ?? Date.now()));
-        this.answeredAt = Date.now();
-      }
-    } catch {
-      // the node is down: try another
-      this.node++;
+    const fronts = this.front()
+      .split(",")
+      .map((entry) => entry.split("="));
+    const addr = fronts[this.node % fronts.length]!.at(-1)!;
+    // not fetch: it asks again by itself after a 421, and who comes back is taken in
+    const reply = await post(`http://${addr}/agent/beat`, JSON.stringify(this.report()));
+    if (reply?.status === 200) {
+      this.baton = Math.max(this.baton, Number((JSON.parse(reply.text) as Json)["baton"]));
+      this.longestGapMs = Math.max(this.longestGapMs, Date.now() - (this.answeredAt ?? Date.now()));
+      this.answeredAt = Date.now();
+      return;
     }
+    const foreman = reply?.status === 421 ? (JSON.parse(reply.text) as Json)["foreman"] : undefined;
+    const named = fronts.findIndex(([name]) => name === foreman);
+    if (reply?.status === 421) this.redirects++;
+    this.node = named >= 0 ? named : this.node + 1;
   }
 
   async handle(request: http.IncomingMessage): Promise<[number, unknown]> {
