--- a/test/scene.ts
+++ b/test/scene.ts
@@ -17,6 +17,9 @@
   /** The token that the machines know. */
   private token = tokenOf(1);
 
+  /** Machines that get no commands, their shard being handed over. */
+  readonly paused = new Set<string>();
+
   constructor(machines: readonly { id: string; zone: string; type?: string }[]) {
     const term = { token: 1, key: 10, leader: "a", members: [{ name: "a", incarnation: 1, zone: "east" }] };
     this.s = new Scheduler(
@@ -25,6 +28,7 @@
         teams: new Map(TEAMS.map((t) => [t.name, t])),
         fleet: { reuse: 0.5, idleBoots: 1.5, warmFor: Duration.zero },
         startGoals: new Map(),
+        ownership: { isPaused: (machine) => this.paused.has(machine), wayTo: () => null },
       },
       term,
       10,
