--- a/test/shards-on-loopback.test.ts
+++ b/test/shards-on-loopback.test.ts
@@ -29,6 +29,7 @@
   let moved = 0;
   for (let round = 0; round < 6; round++) {
     await cluster.submit(`req-0001${round}1`, { chores: 8 });
+    await cluster.submit(`req-0001${round}8`, { chores: 4 });
     await cluster.submit(`req-0001${round}2`, GANG);
     const shards = await cluster.busyShards();
     const shard = shards[round % shards.length]!;
@@ -45,7 +46,7 @@
   }
   assert.ok(moved > 0, "not a single move");
   for (let round = 0; round < 6; round++)
-    for (const kind of [1, 2])
+    for (const kind of [1, 2, 8])
       await until(
         `req-0001${round}${kind} done`,
         async () => (await cluster.status(`req-0001${round}${kind}`)) === "done",
@@ -108,29 +109,45 @@
   assert.deepEqual(checkHistory(cloud.events), []);
 });
 
-test("source, target and leader end in the middle of moves: every job is done once, and every handoff ends", async () => {
-  for (const [round, victim] of (["source", "target", "leader"] as const).entries()) {
-    await cluster.submit(`req-0002${round}1`, { chores: 8 });
-    const shards = await cluster.busyShards();
-    const shard = shards[round % shards.length]!;
-    const target = other(shard.owner);
-    const leader = (await cluster.list()).leader as Name;
-    const dies = victim === "source" ? (shard.owner as Name) : victim === "target" ? target : leader;
-    const at = NAMES.find((name) => name !== dies)!;
-    const moving = cluster.cli(at, "move", shard.shard, target, "--wait", "5");
-    await until("the handoff is under way, or over", async () => {
-      const record = state.rows.get(`shards/owner/${shard.shard}`)?.value as { phase?: string } | undefined;
-      return record?.phase !== undefined || (await Promise.race([moving.then(() => true), false]));
-    });
-    cluster.restart(dies);
-    await moving;
-    await cluster.untilInForce(true, at);
-    await until("no handoff is left", async () => {
-      const listing = await cluster.list(at);
-      return listing.shards.every((s) => s.state === "owned" || s.state === "default");
+/** Holds a handoff at a step: before the release, or before the take. */
+const STEPS = {
+  draining: (value: ShardRecord) => value.phase === "released",
+  released: (value: ShardRecord) => value.phase === undefined && value.epoch > 1,
+} as const;
+interface ShardRecord {
+  readonly epoch: number;
+  readonly phase?: string;
+}
+
+let arrays = 0;
+for (const step of ["draining", "released"] as const)
+  for (const victim of ["source", "target", "leader"] as const)
+    test(`the ${victim} ends while a shard is ${step}, in the middle of an array: it is done once, and the handoff ends`, async () => {
+      const array = `req-0004${arrays++}8`;
+      const shards = await cluster.busyShards();
+      const shard = shards[arrays % shards.length]!;
+      const key = `shards/owner/${shard.shard}`;
+      const target = other(shard.owner);
+      const leader = (await cluster.list()).leader as Name;
+      const dies = victim === "source" ? (shard.owner as Name) : victim === "target" ? target : leader;
+      const at = NAMES.find((name) => name !== dies)!;
+      await cluster.submit(array, { chores: 8 });
+      await until("its tasks run", () => cloud.events.some((event) => event.startsWith(`start ${array}/`)));
+      state.holdsBack = (written, value) => written === key && STEPS[step](value as ShardRecord);
+      const moving = cluster.cli(at, "move", shard.shard, target, "--wait", "5");
+      const phase = (): string | undefined => (state.rows.get(key)?.value as ShardRecord | undefined)?.phase;
+      let isOver = false;
+      void moving.then(() => (isOver = true));
+      await until("it is held there, or was refused", () => phase() === step || isOver);
+      cluster.restart(dies);
+      state.holdsBack = () => false;
+      await moving;
+      await cluster.untilInForce(true, at);
+      await until("no handoff is left", async () =>
+        (await cluster.list(at)).shards.every((s) => s.state === "owned" || s.state === "default"),
+      );
+      await until("the array is done", async () => (await cluster.status(array)) === "done");
+      for (const service of ["req-000019", "req-000029"])
+        assert.equal(await cluster.status(service), "running");
+      assert.deepEqual(checkHistory(cloud.events), []);
     });
-    await until("the array is done", async () => (await cluster.status(`req-0002${round}1`)) === "done");
-  }
-  for (const service of ["req-000019", "req-000029"]) assert.equal(await cluster.status(service), "running");
-  assert.deepEqual(checkHistory(cloud.events), []);
-});
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -67,6 +67,8 @@
   readonly tooMany: string[] = [];
   /** Which transactions are refused (400) whatever their size, by the keys that they would write or delete. */
   readonly refuses = new Set<(keys: readonly string[]) => boolean>();
+  /** Which writes get 503, as in an outage, by their key and value. */
+  holdsBack: (key: string, value: unknown) => boolean = () => false;
   /** What was refused so. */
   readonly refused: (readonly string[])[] = [];
 
@@ -202,6 +204,7 @@
       this.refused.push(keys);
       return [400, { error: "too large" }];
     }
+    if (apply.some((c) => c.write !== undefined && this.holdsBack(c.write, c.value))) return [503, {}];
     if (apply.length > this.changesLeft) {
       this.tooMany.push(first);
       return [429, {}];
@@ -284,7 +287,13 @@
   }
 }
 
-/** Runs any task for a moment; tasks of jobs whose id ends in 9 run until they are halted. */
+/** How long a task runs: for a moment, for seconds if its job's id ends in 8, and until it is halted if that ends in 9. */
+const runMs = (chore: string): number | null => {
+  const job = chore.split("/")[0]!;
+  return job.endsWith("9") ? null : job.endsWith("8") ? 3000 : 50;
+};
+
+/** A machine: runs whatever it is told to, and reports. */
 export class WorkerStandIn extends StandIn {
   private tally = 0;
   private baton = 0;
@@ -370,12 +379,13 @@
           status: "running",
         };
         this.chores.set(key, started);
-        if (!o.chore.split("/")[0]!.endsWith("9"))
+        const ms = runMs(o.chore);
+        if (ms !== null)
           setTimeout(() => {
             if (started.status !== "running") return;
             this.events.push(`done ${o.chore}`);
             Object.assign(started, { status: "ended", cause: "done" });
-          }, 50);
+          }, ms);
       }
     }
     return [200, this.report()];
