--- a/src/service/shards/shard-operator.ts
+++ b/src/service/shards/shard-operator.ts
@@ -87,6 +87,9 @@
 
   /** A request that this node is to answer itself. */
   answer(request: OperatorRequest): Effect.Effect<OperatorAnswer> {
+    // one that has stopped leading meanwhile knows no machines, and must not take a shard for unknown
+    if (request.verb !== "list" && !this.leader.isLeading)
+      return Effect.succeed(refused(Refusal.NotLeader({ member: this.me })));
     switch (request.verb) {
       case "list":
         return Effect.sync(() => answer(OK, this.list()));
