--- a/review/lib/http.js
+++ b/review/lib/http.js
@@ -36,14 +36,21 @@
   }
 }
 
-export const freePort = () =>
-  new Promise((resolve) => {
-    const server = net.createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
+const LOWEST_PORT = 15_000;
+const PORTS = 15_000;
+
+/** A free port, below those that the system gives to outgoing connections, which could take it in between. */
+export const freePort = async () => {
+  for (;;) {
+    const port = LOWEST_PORT + Math.floor(Math.random() * PORTS);
+    const isFree = await new Promise((resolve) => {
+      const server = net.createServer();
+      server.once("error", () => resolve(false));
+      server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
     });
-  });
+    if (isFree) return port;
+  }
+};
 
 /** Reads a body; null if it is longer than `maxBytes`. */
 const readBody = (request, maxBytes) =>
