--- a/review/lib-2/cloud.js
+++ b/review/lib-2/cloud.js
@@ -70,7 +70,7 @@
       const machine = this.machines.get(id);
       if (machine === undefined || machine.goneAt !== null) continue;
       machine.goneAt = clock();
-      if (machine.worker.server !== undefined) machine.worker.remove();
+      machine.worker.remove();
     }
     this.log({ what: "deleted", machines: hearths });
     return [200, {}];
--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -262,6 +262,11 @@
     deployment.stop("could not run: 118 s are over");
     process.exit(2);
   }, 118_000);
+  const failed = (error) => {
+    deployment.stop(`could not run: ${error.stack}`);
+    process.exit(2);
+  };
+  process.once("uncaughtException", failed);
   const interrupted = () => {
     deployment.stop("could not run: interrupted");
     process.exit(2);
--- a/review/lib-2/worker.js
+++ b/review/lib-2/worker.js
@@ -35,8 +35,10 @@
   }
 
   async start() {
+    if (this.isGone) return;
     this.server = serveJson((method, url, body) => this.handle(method, url, body));
     this.addr = await listen(this.server);
+    if (this.isGone) return closeServer(this.server);
     this.ticker = setInterval(() => this.tick(), TICK_MS);
     void this.reportLoop();
   }
@@ -47,7 +49,7 @@
     clearInterval(this.ticker);
     for (const task of this.tasks.values()) this.leave(task, "machine deleted");
     this.tasks.clear();
-    closeServer(this.server);
+    if (this.server !== undefined) closeServer(this.server);
   }
 
   /** Cuts the machine off: it sends and hears nothing, and what was sent to it meanwhile is lost (reset) at the end. */
@@ -118,6 +120,12 @@
     }
   }
 
+  /** The processors that no task takes now. */
+  freeCpus() {
+    const taken = [...this.tasks.values()].filter((task) => task.status !== "ended");
+    return taken.reduce((free, task) => free - task.vcpus, this.vcpus);
+  }
+
   begin(key, { chore, try: attempt }) {
     const description = this.describe(chore.split("/")[0]);
     const others = [...this.tasks.values()].filter((task) => task.status !== "ended");
