--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -189,9 +189,9 @@
     return answer;
   }
 
-  /** Submits a job, at the controllers in turn, until it is accepted. `runMs`: see `Worker`. */
-  async submit(job, runMs) {
-    this.jobs.set(job.ref, { vcpus: job.vcpus, runMs });
+  /** Submits a job, at the controllers in turn, until it is accepted. `runMs`, `fails`: see `Worker`. */
+  async submit(job, runMs, fails = false) {
+    this.jobs.set(job.ref, { vcpus: job.vcpus, runMs, fails });
     for (let tries = 0; tries < 60; tries++) {
       const { member } = this.nodes[tries % this.nodes.length];
       const answer = await this.ask(member, "POST", "/v2/runs", job);
--- a/review/lib-2/worker.js
+++ b/review/lib-2/worker.js
@@ -2,11 +2,13 @@
 /**
  * A stand-in for a worker, by the protocol page: reports, leases and sessions, tokens, orders. What its tasks do is
  * decided by `describe(job)`, which stands for the description that users upload: null if the job wasn't submitted,
- * else `{ vcpus, runMs }`, with `runMs` null for a replica. Image fetches take `FETCH_MS`.
+ * else `{ vcpus, runMs, fails }`, with `runMs` null for a replica, and `fails` if it has a mistake. Image fetches take `FETCH_MS`.
  */
 import { clock, closeServer, listen, request, serveJson, sleep } from "./wire.js";
 
 const FETCH_MS = 300;
+/** How long a task of a job with a mistake runs before it fails. */
+const FAILURE_MS = 200;
 const REPORT_TIMEOUT_MS = 4000;
 const MIN_REPORT_GAP_MS = 500;
 const TICK_MS = 20;
@@ -152,10 +154,12 @@
 
   /** The task has its image: it is on the machine from now on. */
   run(task) {
-    const { runMs } = this.describe(task.chore.split("/")[0]) ?? { runMs: 0 };
+    const { runMs, fails } = this.describe(task.chore.split("/")[0]) ?? { runMs: 0, fails: false };
     task.status = "running";
     task.isOn = true;
-    task.endsAt = runMs === null ? Infinity : clock() + runMs;
+    task.endsAt = runMs === null ? Infinity : clock() + (fails ? FAILURE_MS : runMs);
+    task.cause = undefined;
+    task.endsWith = fails ? "error" : "done";
     this.log({ machine: this.id, chore: task.chore, try: task.try, what: "on" });
     this.changed = true;
   }
@@ -186,7 +190,7 @@
     const now = clock();
     for (const task of this.tasks.values()) {
       if (task.status === "fetching" && now >= task.readyAt) this.run(task);
-      else if (task.status === "running" && now >= task.endsAt) this.end(task, "done");
+      else if (task.status === "running" && now >= task.endsAt) this.end(task, task.endsWith);
     }
     if (now - this.leaseFrom <= this.settings.lease_s * 1000) return;
     for (const task of this.tasks.values()) this.leave(task, "lease expired");
