Review stand-ins: ports that outgoing connections don't take

Beside many other runs a controller sometimes couldn't bind its port, since an outgoing connection held it.

--- a/review/stand-ins-2/common.js
+++ b/review/stand-ins-2/common.js
@@ -157,12 +157,21 @@
   }
 }
 
-/** A port of the loopback interface that was free a moment ago. */
-export const freePort = () =>
+/** Ports below those that outgoing connections get, so that none of these takes one before a controller does. */
+const LOWEST_PORT = 12_000;
+const PORTS = 18_000;
+
+const isFree = (port) =>
   new Promise((resolve) => {
     const server = net.createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
-    });
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
   });
+
+/** A port of the loopback interface that was free a moment ago. */
+export const freePort = async () => {
+  for (;;) {
+    const port = LOWEST_PORT + Math.floor(Math.random() * PORTS);
+    if (await isFree(port)) return port;
+  }
+};
--- a/review/stand-ins-2/world.js
+++ b/review/stand-ins-2/world.js
@@ -28,6 +28,7 @@
   onMachines = new Set();
   nodes = [];
   isOver = false;
+  endedByItself = [];
   /** Tasks that started on one machine while they were on another. */
   ranTwice = [];
 
@@ -89,7 +90,9 @@
       env: { ...process.env, LOG_LEVEL: process.env.REVIEW_LOG ?? "error" },
     });
     node.process.on("exit", (code, signal) => {
-      if (!this.isOver) this.record.add(`${node.name}: ended by itself (${code ?? signal})`);
+      if (this.isOver) return;
+      this.endedByItself.push(node.name);
+      this.record.add(`${node.name}: ended by itself (${code ?? signal})`);
     });
     this.record.add(`${node.name}: started`);
   }
@@ -280,6 +283,7 @@
   try {
     await world.start();
     const held = await play();
+    if (world.endedByItself.length > 0) throw new Error(`ended by itself: ${world.endedByItself.join(" ")}`);
     code = held ? 0 : 1;
     world.record.add(held ? "RESULT: the rule held" : "RESULT: the rule was broken");
   } catch (error) {
