Review stand-ins: an error of a stand-in never counts as a broken rule

An uncaught error in the process of a case gave code 1, like a broken rule, and left its controllers running. It now gives code 2, and no controller outlives the process.

--- a/review/stand-ins-2/world.js
+++ b/review/stand-ins-2/world.js
@@ -271,15 +271,19 @@
 export const runCase = async (world, play) => {
   let code = 2;
   const guard = setTimeout(() => {
-    world.record.add("the case took too long");
-    world.stop();
+    world.record.add("RESULT: the case couldn't run: it took too long");
     process.exit(2);
   }, 119_000);
-  for (const signal of ["SIGINT", "SIGTERM"])
-    process.on(signal, () => {
-      world.stop();
-      process.exit(2);
-    });
+  const giveUp = (error) => {
+    world.record.add(`RESULT: the case couldn't run: ${error?.stack ?? error}`);
+    process.exit(2);
+  };
+  for (const event of ["SIGINT", "SIGTERM", "uncaughtException", "unhandledRejection"])
+    process.on(event, giveUp);
+  // whatever ends this process, no controller outlives it
+  process.on("exit", () => {
+    for (const node of world.nodes) node.process?.kill("SIGKILL");
+  });
   try {
     await world.start();
     const held = await play();
@@ -290,6 +294,9 @@
     world.record.add(`RESULT: the case couldn't run: ${error.stack}`);
   }
   clearTimeout(guard);
-  world.stop();
-  process.exit(code);
+  try {
+    world.stop();
+  } finally {
+    process.exit(code);
+  }
 };
