--- a/src/core/members/worker-partition.ts
+++ b/src/core/members/worker-partition.ts
@@ -3,6 +3,7 @@
  * it has yet to report to the leader. Does no I/O: takes events, returns decisions.
  */
 import * as Duration from "effect/Duration";
+import type { JobStanding } from "../jobs/ended-jobs.js";
 import type { CommandOutcome } from "../scheduler/decisions.js";
 import { FinishStore } from "./finish-store.js";
 import type { AgedHeartbeat, MemberUpdate, CommandResult, WorkerContact } from "./member-update.js";
@@ -16,9 +17,15 @@
   | { kind: "taken"; fencingToken: number; stopCommands: Command[] }
   /** Another member serves this worker. */
   | { kind: "elsewhere"; member: string | null }
-  /** This node may not answer workers now, or isn't in the term: the worker tries another node, or this one again. */
+  /**
+   * This node may not answer workers now, isn't in the term, or can't tell whether a task's job has ended: the worker
+   * tries another node, or this one again.
+   */
   | { kind: "unsure" };
 
+/** Tells what this node knows of a job whose task a worker reports (S9). */
+export type JobStandingLookup = (job: string) => JobStanding;
+
 interface Worker {
   heartbeat: Heartbeat | null;
   lastHeartbeatAt: Instant | null;
@@ -135,14 +142,14 @@
 
   /**
    * Answers a heartbeat that a worker sent by itself. `mayAnswer`: whether this node may answer workers now (S1, S11);
-   * `incarnation`: that of this process, which the term must list; `isEnded`: whether a job has its commit.
+   * `incarnation`: that of this process, which the term must list.
    */
   handleHeartbeat(
     heartbeat: Heartbeat,
     mayAnswer: boolean,
     incarnation: number,
     now: Instant,
-    isEnded: (job: string) => boolean = () => false,
+    standingOf: JobStandingLookup = () => "unfinished",
   ): HeartbeatAnswer {
     const { term } = this;
     if (!mayAnswer || term === null) return { kind: "unsure" };
@@ -151,14 +158,19 @@
     const target = this.redirectTarget(term, heartbeat, now);
     if (target !== null) return { kind: "elsewhere", member: target };
     this.recordHeartbeat(heartbeat, now);
+    const liveTasks = heartbeat.tasks.filter((task) => task.state !== "exited");
+    const standings = liveTasks.map((task) => standingOf(task.job));
+    // the answer would renew the lease of a task that may have been cancelled up to cancel_s ago, before this process
+    // began: it would then be on its machine after cancel_s
+    if (standings.includes("undetermined")) return { kind: "unsure" };
     // a delayed copy is answered too, and the answer may renew the lease, so it counts for the proof that leases have
     // expired; but it doesn't show that the worker is alive
     this.workerOf(heartbeat.machine).lastAnswerAt = now;
     this.unreportedContacts.add(heartbeat.machine);
     // during an outage the leader's stop commands may not reach a machine that is still answered here, so the answer
     // carries them as well
-    const stopCommands = heartbeat.tasks
-      .filter((task) => task.state !== "exited" && isEnded(task.job))
+    const stopCommands = liveTasks
+      .filter((_, position) => standings[position] === "ended")
       .map(({ job, index, attempt }): Command => ({
         op: "stop",
         job,
--- a/src/core/records/state-keys.ts
+++ b/src/core/records/state-keys.ts
@@ -17,6 +17,7 @@
   blockedJob: (id: string) => `job-waiting/${id}`,
   fanins: "job-fanin/",
   fanin: (id: string) => `job-fanin/${id}`,
+  commits: "commit/",
   commit: (id: string) => `commit/${id}`,
   ranges: "ranges/",
   rangesOf: (id: string, writer: string, window: number) => `ranges/${id}/${writer}/${window}`,
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -33,6 +33,10 @@
 /** The timeout of a watch of the jobs, as a share of the time for which a view of them counts as fresh. */
 const WATCH_TIMEOUT_PER_VIEW_AGE = 0.2;
 const MAX_WATCH_TIMEOUT = Duration.seconds(2);
+/** The longest that a list takes, and the burst of one second's worth of changes that the limit of their rate allows. */
+const LIST_AND_BURST_ALLOWANCE = Duration.seconds(5);
+/** Keys that are removed with their lease count as changes too, beyond the limit of their rate. */
+const EXPIRED_KEYS_ALLOWANCE = 1.1;
 /** A transaction may have this many conditions for each change that it may have. */
 const CONDITIONS_PER_CHANGE = 4;
 /** How long after its expiry a machine's last contact is still remembered. */
@@ -83,12 +87,23 @@
   };
 };
 
-const buildJobCache = ({ state, log, timings }: BaseServices): JobCache =>
-  new JobCache(
-    state,
-    log,
-    Duration.min(MAX_WATCH_TIMEOUT, Duration.times(timings.jobViewMaxAge, WATCH_TIMEOUT_PER_VIEW_AGE)),
-  );
+/** The most changes that the state service makes between a cancel whose deadline passes now and the answer to a list. */
+const maxChangesPerDeadline = (
+  cancelDeadline: Duration.Duration,
+  { writeRps, next }: Settings["stateLimits"],
+): number => {
+  const span = Duration.sum(cancelDeadline, LIST_AND_BURST_ALLOWANCE);
+  return Math.ceil(Math.max(writeRps, next.writeRps) * Duration.toSeconds(span) * EXPIRED_KEYS_ALLOWANCE);
+};
+
+const buildJobCache = ({ settings, state, log, timings }: BaseServices): JobCache => {
+  const { cancelDeadline, jobViewMaxAge } = timings;
+  return new JobCache(state, log, {
+    watchTimeout: Duration.min(MAX_WATCH_TIMEOUT, Duration.times(jobViewMaxAge, WATCH_TIMEOUT_PER_VIEW_AGE)),
+    cancelDeadline,
+    maxChangesPerDeadline: maxChangesPerDeadline(cancelDeadline, settings.stateLimits),
+  });
+};
 
 const buildMembership = (base: BaseServices, jobCache: JobCache): Membership => {
   const { settings, timings, state, log, peers } = base;
@@ -216,7 +231,7 @@
     member.termChanged();
   };
   member.isUnfinished = (job) => jobCache.releasedJobs.has(job);
-  member.isEnded = (job) => jobCache.isEnded(job);
+  member.standingOf = (job) => jobCache.standingOf(job);
   member.onDone = (job, tasks) => {
     status.remember(job, { outcome: "done", tasks });
     jobCache.remove(job);
--- a/src/service/job-cache.ts
+++ b/src/service/job-cache.ts
@@ -5,6 +5,7 @@
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
 import { type Instant, hasElapsed } from "../core/time.js";
+import { EndedJobs, type JobStanding } from "../core/jobs/ended-jobs.js";
 import { BlockedJobs } from "../core/jobs/fanin.js";
 import { type FaninRecord, type JobSpec, keys, type MachineType } from "../core/records.js";
 import { instantOfDate, now } from "../io/clock.js";
@@ -19,7 +20,7 @@
   type WireMachineType,
 } from "../io/codec.js";
 import type { Log } from "../io/log.js";
-import type { StateClient } from "../io/state-client.js";
+import type { StateClient, StateError } from "../io/state-client.js";
 
 /** A released job. */
 export interface ReleasedJob {
@@ -52,7 +53,23 @@
  */
 export type UnusableRecord = "over" | "malformed";
 
-const MAX_ENDED_JOBS = 20_000;
+/** Settings of `JobCache`. */
+export interface JobCacheOptions {
+  /** How long a watch waits for changes. Until it is answered, `currentAsOf` stays behind. */
+  readonly watchTimeout: Duration.Duration;
+  /** How long a task may still run after its job was cancelled. */
+  readonly cancelDeadline: Duration.Duration;
+  /** The most changes that the state service makes within `cancelDeadline`. */
+  readonly maxChangesPerDeadline: number;
+}
+
+const MIN_REMEMBERED_ENDED_JOBS = 20_000;
+/** By default the whole history that the state service keeps. */
+const DEFAULT_OPTIONS: JobCacheOptions = {
+  watchTimeout: Duration.seconds(2),
+  cancelDeadline: Duration.seconds(60),
+  maxChangesPerDeadline: 10_000,
+};
 /**
  * The pause between two watches, so that one answer has several changes. The leader's is shorter, since it starts the
  * jobs that come in.
@@ -81,15 +98,19 @@
   readonly fanins = new Map<string, Fanin>();
   /** Which jobs the blocked jobs depend on. */
   readonly dependencies = new BlockedJobs();
-  /** Jobs whose end was seen, the oldest first: a late answer that still has their record must not restore them. */
-  private readonly ended = new Set<string>();
+  /** Jobs that have ended: a late answer that still has their record must not restore them. */
+  private readonly ended: EndedJobs;
+  /** Released jobs whose record can't be parsed, by id. They may run all the same: another version may read them. */
+  private readonly unreadableJobs = new Set<string>();
+  /** The revision up to which every end is known; null: none yet. */
+  private endsKnownUpTo: number | null = null;
   /** The machine types; empty if they aren't known yet. */
   types: readonly MachineType[] = [];
   /** Whether all unfinished jobs have been read once. */
   isReady = false;
   /**
-   * Every job that had ended by this time is known here to have ended. It is the time at which the latest answered
-   * list or watch was sent; null before the first answer (S9).
+   * Every job that had ended by this time, and may still have tasks, is known here to have ended, or its tasks' leases aren't
+   * renewed. It is the time at which the latest answered list or watch was sent; null before the first one (S9).
    */
   currentAsOf: Instant | null = null;
   /** Whether this node leads; changes are then read more often. Set once before `run`, like the listeners below. */
@@ -108,9 +129,12 @@
   constructor(
     private readonly state: StateClient,
     private readonly log: Log,
-    /** How long a watch waits for changes. Until it is answered, `currentAsOf` stays behind. */
-    private readonly watchTimeout = Duration.seconds(2),
-  ) {}
+    private readonly options: JobCacheOptions = DEFAULT_OPTIONS,
+  ) {
+    const { cancelDeadline, maxChangesPerDeadline } = options;
+    const maxJobs = Math.max(MIN_REMEMBERED_ENDED_JOBS, maxChangesPerDeadline);
+    this.ended = new EndedJobs({ cancelDeadline, maxJobs });
+  }
 
   /** Sets the machine types, as read from the state service or the cloud. */
   setTypes(rows: readonly WireMachineType[]): void {
@@ -118,11 +142,27 @@
     this.onTypes(this.types);
   }
 
-  /** Whether the job's end was seen. */
+  /** Whether the job's end is known. */
   isEnded(id: string): boolean {
     return this.ended.has(id);
   }
 
+  /** What is known of a job whose task a worker reports (S9). */
+  standingOf(id: string): JobStanding {
+    const standing = this.ended.standingOf(id, this.mayRun(id), now());
+    if (standing === "undetermined")
+      this.log.info(
+        { job: id },
+        "can't tell whether a reported task's job has ended; not renewing its lease",
+      );
+    return standing;
+  }
+
+  /** Whether the job is unfinished as of the last read. */
+  private mayRun(id: string): boolean {
+    return this.isUnfinished(id) || this.unreadableJobs.has(id);
+  }
+
   /** Adds a released job's record that was read or written. */
   putReleased(key: string, value: unknown, revision: number): ReleasedJob | UnusableRecord {
     const id = key.slice(keys.jobs.length);
@@ -132,6 +172,7 @@
     const spec = decodeJobRecord(id, value);
     if (spec === null) {
       this.log.error({ job: id }, "can't parse a job record");
+      this.unreadableJobs.add(id);
       return "malformed";
     }
     const acceptedAt = acceptanceInstantOf(value);
@@ -184,10 +225,7 @@
   /** Removes a job that has ended: its commit was seen, or its record was deleted. */
   remove(id: string): void {
     this.ended.add(id);
-    if (this.ended.size > MAX_ENDED_JOBS) {
-      const [oldest] = this.ended;
-      if (oldest !== undefined) this.ended.delete(oldest);
-    }
+    this.unreadableJobs.delete(id);
     const wasBlocked = this.blockedJobs.has(id);
     this.dropBlocked(id);
     if (this.releasedJobs.delete(id) || wasBlocked) this.onEnded(id);
@@ -231,25 +269,74 @@
     for (const { key, value } of events) if (value === undefined) this.removeRow(key);
   }
 
+  /**
+   * Reads the commits of the last changes before the list, half as many each time that the service no longer keeps them
+   * all. Returns how many changes before the list were covered.
+   */
+  private readCommits(listRevision: number, changes: number): Effect.Effect<number, StateError> {
+    if (changes === 0) return Effect.succeed(0);
+    return this.state.watch(keys.commits, listRevision - changes, Duration.zero).pipe(
+      Effect.map(({ events }) => {
+        for (const { key } of events) this.remove(key.slice(keys.commits.length));
+        return changes;
+      }),
+      Effect.catchTag("TooOld", () => this.readCommits(listRevision, Math.floor(changes / 2))),
+    );
+  }
+
+  /**
+   * Learns of the jobs that ended before the list at `listRevision` was read, which doesn't show them: those since the last
+   * read or, in a new process, those whose tasks may still be on machines.
+   */
+  private readonly readMissedEnds = (listedAt: Instant, listRevision: number) =>
+    Effect.gen(this, function* () {
+      const { maxChangesPerDeadline } = this.options;
+      const missedChanges =
+        this.endsKnownUpTo === null ? Infinity : Math.max(0, listRevision - this.endsKnownUpTo);
+      const changes = Math.min(listRevision, missedChanges, maxChangesPerDeadline);
+      const covered = yield* this.readCommits(listRevision, changes);
+      const isMissingEnds = covered < changes;
+      this.ended.listed(listedAt, isMissingEnds);
+      const details = { listRevision, changes, covered };
+      if (isMissingEnds)
+        this.log.warn(
+          details,
+          "the state service's history is too short to show all jobs that ended recently",
+        );
+      else if (this.endsKnownUpTo === null) this.log.info(details, "read the jobs that ended recently");
+    });
+
+  /** The view is complete as of a read that was requested at `requestedAt` and answered with `revision`. */
+  private viewRead(requestedAt: Instant, revision: number): void {
+    this.ended.readAnswered(requestedAt, (id) => this.mayRun(id));
+    this.endsKnownUpTo = revision;
+    this.currentAsOf = requestedAt;
+  }
+
   private readonly jobLoop = Effect.gen(this, function* () {
+    const { watchTimeout } = this.options;
     const listedAt = now();
     const list = yield* this.state.list(keys.unfinished);
     this.replaceAll(list.rows, list.revision);
     this.isReady = true;
-    this.currentAsOf = listedAt;
+    // the list doesn't show which jobs have ended, so it alone makes the view no newer (S9)
+    yield* this.readMissedEnds(listedAt, list.revision);
+    this.viewRead(listedAt, list.revision);
     let { revision } = list;
+    let lastReadAt = listedAt;
     for (;;) {
       const requestedAt = now();
       // if the last answer was slow, the view is old: a watch with no timeout is answered at once
-      const isLate = hasElapsed(requestedAt, this.currentAsOf, Duration.times(this.watchTimeout, 2));
+      const isLate = hasElapsed(requestedAt, lastReadAt, Duration.times(watchTimeout, 2));
       const answer = yield* this.state.watch(
         keys.unfinished,
         revision,
-        isLate ? Duration.zero : this.watchTimeout,
+        isLate ? Duration.zero : watchTimeout,
       );
       this.applyEvents(answer.events);
       revision = answer.revision;
-      this.currentAsOf = requestedAt;
+      lastReadAt = requestedAt;
+      this.viewRead(requestedAt, revision);
       yield* Effect.sleep(this.isLeading() ? LEADER_BATCHING_DELAY : BATCHING_DELAY);
     }
   }).pipe(
--- a/src/service/members/member.ts
+++ b/src/service/members/member.ts
@@ -4,7 +4,11 @@
  */
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
-import { type HeartbeatAnswer, WorkerPartition } from "../../core/members/worker-partition.js";
+import {
+  type HeartbeatAnswer,
+  type JobStandingLookup,
+  WorkerPartition,
+} from "../../core/members/worker-partition.js";
 import type { Heartbeat } from "../../core/records.js";
 import { now } from "../../io/clock.js";
 import type { Log } from "../../io/log.js";
@@ -44,8 +48,8 @@
   localLeader: ((request: SyncRequest) => SyncResponse) | null = null;
   /** Called when the leader reports that a job is done, so its commit record exists (S8); set once, before `run`. */
   onDone: (job: string, tasks: number) => void = () => undefined;
-  /** Whether a job is known to have ended; set once, before `run`. */
-  isEnded: (job: string) => boolean = () => false;
+  /** What this node knows of a job whose task a worker reports; set once, before `run`. */
+  standingOf: JobStandingLookup = () => "unfinished";
   /** Whether this node knows a job as unfinished; set once, before `run`. */
   isUnfinished: (job: string) => boolean = () => true;
   private readonly sync: LeaderSync;
@@ -107,7 +111,7 @@
       this.membership.mayAnswerWorkers(),
       this.membership.incarnation,
       now(),
-      this.isEnded,
+      this.standingOf,
     );
     if (answer.kind === "taken") this.sync.requestIfUpdated();
     return answer;
--- a/test/fakes/fake-state-service.ts
+++ b/test/fakes/fake-state-service.ts
@@ -23,6 +23,10 @@
   readonly rejectionRules = new Set<(keys: readonly string[]) => boolean>();
   /** Whether a write of this value to this key gets 503, as in an outage. */
   failsWrite: (key: string, value: unknown) => boolean = () => false;
+  /** How many revisions back a watch may begin; an earlier one gets 410. */
+  keptRevisions = Infinity;
+  /** Whether a watch of this prefix gets 503. */
+  refusesWatch: (prefix: string) => boolean = () => false;
   /** The keys of each transaction that `rejectionRules` refused. */
   readonly rejectedTransactions: (readonly string[])[] = [];
 
@@ -79,8 +83,10 @@
     const prefix = url.searchParams.get("under") ?? "";
     const fromRevision = Number(url.searchParams.get("from"));
     const deadline = Date.now() + Number(url.searchParams.get("wait_ms"));
+    if (fromRevision < this.revision - this.keptRevisions) return [410, { ledger: this.revision }];
     for (;;) {
       this.expireLeases();
+      if (this.refusesWatch(prefix)) return [503, {}];
       const newChanges = this.changeLog.filter(
         (change) => change.revision > fromRevision && change.key.startsWith(prefix),
       );
--- a/test/model/commands.ts
+++ b/test/model/commands.ts
@@ -74,6 +74,7 @@
           ? Math.max(world.zoneCutUntil.get(via.zone) ?? 0, world.zoneCutUntil.get(worker.record.zone) ?? 0)
           : 0;
         const blockedUntil = Math.max(worker.hungUntil, worker.cutUntil, worker.deafUntil, zoneCutUntil);
+        if (world.cutsReset && world.now < Math.max(worker.cutUntil, zoneCutUntil)) return;
         if (world.now < blockedUntil) {
           world.messages.push({ at: blockedUntil + 1, run: arrive });
           return;
--- a/test/model/controllers.ts
+++ b/test/model/controllers.ts
@@ -4,7 +4,7 @@
  */
 import * as Duration from "effect/Duration";
 import { type WorldState } from "./world-state.js";
-import { drawStateDelayMs, transact, hasNoCommit } from "./state-service.js";
+import { commitsSince, drawStateDelayMs, transact, hasNoCommit } from "./state-service.js";
 import { sendLater, whenAwake, reachesState, areConnected } from "./network.js";
 import { type Node } from "./nodes.js";
 import { mayAct, askPeers, renewLease } from "./election.js";
@@ -81,6 +81,7 @@
         return false;
       });
       const snapshot = world.waitingJobs.snapshot(revision, node.version);
+      const ends = readEnds(world, node);
       sendLater(
         world,
         whenAwake(world, node, () => {
@@ -89,6 +90,10 @@
           node.knownJobs = snapshot.jobs;
           node.knownJobsRevision = revision;
           node.view.refresh(snapshot);
+          for (const id of ends.jobs) node.endedJobs.add(id);
+          node.endedJobs.listed(askedAt, ends.isTooOld);
+          node.endedJobs.readAnswered(askedAt, (id) => snapshot.jobs.has(id) || node.view.isUnfinished(id));
+          node.endsKnownUpTo = revision;
         }),
       );
     },
@@ -97,6 +102,14 @@
   );
 }
 
+/** The jobs that ended since the process's last read; a new process reads all that the state service still reports. */
+function readEnds(world: WorldState, node: Node): { jobs: string[]; isTooOld: boolean } {
+  const isNew = node.endsKnownUpTo === null;
+  // without the guard a new process knows only of ends after its first read
+  if (isNew && world.disabledGuard === "earlier_ends") return { jobs: [], isTooOld: false };
+  return commitsSince(world, node.endsKnownUpTo ?? 0);
+}
+
 /** Updates a leader's core with the jobs that its process has read. */
 export function applyJobs(world: WorldState, node: Node, scheduler: Scheduler): void {
   for (const [id, row] of node.knownJobs)
--- a/test/model/faults.ts
+++ b/test/model/faults.ts
@@ -7,10 +7,12 @@
 import { beginOutage } from "./state-service.js";
 import { chance, pick } from "./network.js";
 import { type Node, newNode } from "./nodes.js";
-import { killWorker } from "./workers.js";
+import { cancelJob } from "./users.js";
+import { killWorker, workersRunning } from "./workers.js";
 
 /** Draws the faults of one step. */
 export function injectFaults(world: WorldState): void {
+  if (world.combinesFaults && chance(world, 0.08)) combineFaults(world);
   if (chance(world, 0.02)) {
     const node = pick(world, world.nodes);
     if (node.alive) {
@@ -43,6 +45,38 @@
     if (!node.alive && world.now >= node.restartAt) Object.assign(node, newNode(world, node.name, node.zone));
 }
 
+/**
+ * Draws faults that begin within seconds of one another: machines are cut off, jobs on them are cancelled, controllers end,
+ * and the state service goes out, for all or for one controller, about when the machines are heard again.
+ */
+function combineFaults(world: WorldState): void {
+  const { random } = world;
+  world.cutsReset = random() < 0.5;
+  const within = (ms: number, run: () => void): void =>
+    void world.messages.push({ at: world.now + random() * ms, run });
+  const leaseMs = Duration.toMillis(TIMINGS.workerLease);
+  const cutMs = (0.3 + random()) * leaseMs;
+  const cutShare = random();
+  const cutOff = [...world.workers.values()].filter(({ gone }) => !gone && random() < cutShare);
+  for (const worker of cutOff) worker.cutUntil = world.now + cutMs;
+  world.cloudDownUntil = Math.max(world.cloudDownUntil, world.now + 2 * leaseMs);
+  for (const id of [...world.jobs.keys()])
+    if (random() < 0.5 && workersRunning(world, id).some((worker) => cutOff.includes(worker)))
+      within(3000, () => void cancelJob(world, id));
+  const crashShare = random() < 0.4 ? 1 : random();
+  for (const node of world.nodes)
+    if (random() < crashShare) within(4000, () => crashProcess(world, node, random() * 2000));
+  const outageMs = random() * Duration.toMillis(TIMINGS.cancelDeadline) * 1.2;
+  const refused = random() < 0.2 ? pick(world, world.nodes) : null;
+  const beginsAt = world.now + cutMs - random() * 4000 + 1000;
+  const run = (): void => {
+    if (refused === null) beginOutage(world, outageMs);
+    else refused.stateCutUntil = world.now + outageMs;
+  };
+  world.messages.push({ at: Math.max(world.now, beginsAt), run });
+  world.count("combined faults");
+}
+
 /** Crashes a member's process; a new one starts after `downMs`. */
 export function crashProcess(world: WorldState, node: Node, downMs: number): void {
   Object.assign(node, newNode(world, node.name, node.zone), { alive: false, restartAt: world.now + downMs });
--- a/test/model/heartbeats.ts
+++ b/test/model/heartbeats.ts
@@ -6,6 +6,7 @@
 import { type Node } from "./nodes.js";
 import { type Worker } from "./workers.js";
 import { mayAnswer } from "./election.js";
+import { type JobStanding } from "../../src/core/jobs/ended-jobs.js";
 import { type Heartbeat } from "../../src/core/records.js";
 import { type HeartbeatAnswer } from "../../src/core/members/worker-partition.js";
 import { instant } from "../../src/core/time.js";
@@ -60,17 +61,18 @@
   );
 }
 
-/** Hands a heartbeat to a controller, which knows of the commits that it has read from the state service. */
+/** Hands a heartbeat to a controller, whose process knows only of those ends of jobs that it has read. */
 export function deliverHeartbeat(world: WorldState, node: Node, heartbeat: Heartbeat): HeartbeatAnswer {
-  const hasEnded = (job: string): boolean => {
-    const commit = world.commits.get(job);
-    return world.disabledGuard !== "cancel" && commit !== undefined && commit.at < (node.jobsReadAt ?? -1);
+  const at = instant(world.now);
+  const standingOf = (job: string): JobStanding => {
+    if (world.disabledGuard === "cancel") return "unfinished";
+    const standing = node.endedJobs.standingOf(job, isUnfinished(node, job), at);
+    if (standing === "undetermined") world.count("reported jobs that a process knew nothing of");
+    // without the guard they count as accepted after the last read
+    return standing === "undetermined" && world.disabledGuard === "undetermined" ? "unfinished" : standing;
   };
-  return node.partition.handleHeartbeat(
-    heartbeat,
-    mayAnswer(world, node),
-    node.incarnation,
-    instant(world.now),
-    hasEnded,
-  );
+  return node.partition.handleHeartbeat(heartbeat, mayAnswer(world, node), node.incarnation, at, standingOf);
 }
+
+const isUnfinished = (node: Node, job: string): boolean =>
+  node.knownJobs.has(job) || node.view.isUnfinished(job);
--- a/test/model/nodes.ts
+++ b/test/model/nodes.ts
@@ -2,8 +2,10 @@
  * The state of a simulated controller.
  */
 import * as Duration from "effect/Duration";
+import { TIMINGS } from "./settings.js";
 import { type WorldState } from "./world-state.js";
 import { type Command, type TermRecord } from "../../src/core/records.js";
+import { EndedJobs } from "../../src/core/jobs/ended-jobs.js";
 import { WorkerPartition } from "../../src/core/members/worker-partition.js";
 import { type Scheduler } from "../../src/core/scheduler/scheduler.js";
 import { type Instant } from "../../src/core/time.js";
@@ -26,6 +28,9 @@
   knownJobs: ReadonlyMap<string, JobRow>;
   knownJobsRevision: number;
   nextReadAt: number;
+  /** The jobs that have ended as far as its process knows, and the revision up to which it knows all of them. */
+  endedJobs: EndedJobs;
+  endsKnownUpTo: number | null;
   /** What its process knows of waiting jobs and outcomes. */
   view: JobView;
   term: TermRecord | null;
@@ -48,6 +53,8 @@
   peerConfirmations: Map<string, Instant>;
 }
 
+const MAX_ENDED_JOBS = 20_000;
+
 /** The state of a newly started process. */
 export function newNode(world: WorldState, name: string, zone: string): Omit<Node, "version"> {
   const partition = new WorkerPartition(name, 400, Duration.millis(300));
@@ -64,6 +71,8 @@
     knownJobs: new Map(),
     knownJobsRevision: 0,
     nextReadAt: world.now,
+    endedJobs: new EndedJobs({ cancelDeadline: TIMINGS.cancelDeadline, maxJobs: MAX_ENDED_JOBS }),
+    endsKnownUpTo: null,
     view: new JobView(),
     term: null,
     leaseUntil: 0,
--- a/test/model/settings.ts
+++ b/test/model/settings.ts
@@ -19,6 +19,10 @@
   | "zone"
   /** Leaders and members do not learn of cancelled jobs. */
   | "cancel"
+  /** A new process doesn't read which jobs ended before it began. */
+  | "earlier_ends"
+  /** A process renews the leases of tasks although it can't tell whether their jobs have ended. */
+  | "undetermined"
   /** A process acts although it hasn't read the jobs recently. */
   | "fresh_jobs"
   /** Late transactions of a leader do not check that it still holds the leader's key. */
--- a/test/model/state-service.ts
+++ b/test/model/state-service.ts
@@ -92,6 +92,13 @@
   world.stateDownUntil = Math.max(world.stateDownUntil, world.now + ms);
 }
 
+/** The jobs whose commits were written after `from`; `isTooOld`: the service no longer keeps all changes since then. */
+export function commitsSince(world: WorldState, from: number): { jobs: string[]; isTooOld: boolean } {
+  const oldestKept = Math.max(from, world.revision - world.keptRevisions);
+  const jobs = [...world.commits].filter(([, { revision }]) => revision > oldestKept).map(([id]) => id);
+  return { jobs, isTooOld: oldestKept > from };
+}
+
 /** Writes a job's commit record. */
 export function commitJob(world: WorldState, id: string, outcome: "done" | "cancelled"): void {
   const previous = world.commits.get(id);
@@ -100,9 +107,8 @@
       world.violations.push({ rule: "went_back", text: `${id}: ${previous.outcome}, then ${outcome}` });
     return;
   }
-  world.commits.set(id, { outcome, at: world.now });
+  world.commits.set(id, { outcome, at: world.now, revision: ++world.revision });
   world.jobs.delete(id);
-  world.revision++;
   if (outcome !== "done") return;
   world.jobsCommitted++;
   const spec = world.allJobs.get(id)!;
--- a/test/model/workers.ts
+++ b/test/model/workers.ts
@@ -174,6 +174,12 @@
           return;
         if (areZonesApart(world, node.zone, worker.record.zone)) return;
         if (fencingToken < worker.fencingToken || world.now - sentAt > 4000) return;
+        for (const { job } of stopCommands)
+          if (!world.commits.has(job))
+            world.violations.push({
+              rule: "stopped_unfinished",
+              text: `${job} on ${worker.id} at ${world.now}`,
+            });
         executeCommands(world, worker, fencingToken, workerEpoch, stopCommands);
         worker.leaseRenewedAt = Math.max(worker.leaseRenewedAt, sentAt);
       });
--- a/test/model/world-state.ts
+++ b/test/model/world-state.ts
@@ -57,7 +57,13 @@
   readonly workers = new Map<string, Worker>();
   readonly jobs = new Map<string, JobRow>();
   readonly allJobs = new Map<string, JobSpec>();
-  readonly commits = new Map<string, { outcome: "done" | "cancelled"; at: number }>();
+  readonly commits = new Map<string, { outcome: "done" | "cancelled"; at: number; revision: number }>();
+  /** Whether several faults at a time are drawn as well, around jobs that are cancelled. */
+  combinesFaults = false;
+  /** Whether a cut resets connections, so that commands are lost; otherwise they arrive once it ends. */
+  cutsReset = false;
+  /** How many revisions back the state service still reports changes. */
+  keptRevisions = Infinity;
   /** The stored records of finished tasks, by job and key; a later write of a key replaces the earlier one. */
   readonly storedFinishes = new Map<string, Map<string, RangeSet>>();
   readonly completedTasks = new Map<string, RangeSet>();
--- a/test/releases.test.ts
+++ b/test/releases.test.ts
@@ -118,6 +118,7 @@
     "cluster/member/",
     "cluster/member/req-000001",
     "cluster/term",
+    "commit/",
     "commit/req-000001",
     "job",
     "job-fanin/",
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -31,6 +31,39 @@
     assert.ok(terms > SEEDS.length, `only ${terms} terms`);
   });
 
+const KEPT_REVISIONS_TOO_FEW = 2;
+
+const runWithCombinedFaults = (seed: number, guard: Guard | null, keptRevisions: number): World => {
+  const world = new World(seed, guard, 0.3);
+  world.combinesFaults = true;
+  world.keptRevisions = keptRevisions;
+  return world.runTo(180_000);
+};
+
+// guards against cancelled tasks that go on because the controllers restarted, whatever the order of the faults is
+for (const [name, guard, keptRevisions] of [
+  ["the whole history is kept", "earlier_ends", Infinity],
+  ["a short history is kept", "undetermined", KEPT_REVISIONS_TOO_FEW],
+] as const) {
+  test(`no rule is broken when faults meet around cancelled jobs: ${name}`, () => {
+    let combinations = 0;
+    for (let seed = 1000; seed < 1080; seed++) {
+      const world = runWithCombinedFaults(seed, null, keptRevisions);
+      assert.deepEqual(world.violations, [], `seed ${seed}`);
+      combinations += world.eventCounts.get("combined faults") ?? 0;
+    }
+    assert.ok(combinations > 150, `only ${combinations} combinations`);
+  });
+
+  test(`the checker reports ran_cancelled when faults meet without the guard "${guard}"`, () => {
+    for (let seed = 1000; seed < 1080; seed++) {
+      const { violations } = runWithCombinedFaults(seed, guard, keptRevisions);
+      if (violations.some(({ rule }) => rule === "ran_cancelled")) return;
+    }
+    assert.fail("no run broke ran_cancelled");
+  });
+}
+
 const GUARDS: [Guard, string][] = [
   ["confirm", "ran_twice"],
   ["unknown_outcome", "ran_twice"],
--- a/test/seeded-with-shards.test.ts
+++ b/test/seeded-with-shards.test.ts
@@ -9,6 +9,7 @@
 await import("./concurrent-faults-silence.test.js");
 await import("./concurrent-faults-handover.test.js");
 await import("./concurrent-faults-users.test.js");
+await import("./concurrent-faults-cancels.test.js");
 
 test("seeded runs include completed, refused and abandoned handoffs, and some left by an earlier leader", () => {
   const met = new Map<string, number>();
--- a/test/worker-partition.test.ts
+++ b/test/worker-partition.test.ts
@@ -63,12 +63,8 @@
     exitReason: null,
   });
   const tasks = [task("req-1", "running"), task("req-2", "running"), task("req-1", "exited")];
-  const answer = partition.handleHeartbeat(
-    heartbeatWith({ tasks }),
-    true,
-    2,
-    instant(1),
-    (job) => job === "req-1",
+  const answer = partition.handleHeartbeat(heartbeatWith({ tasks }), true, 2, instant(1), (job) =>
+    job === "req-1" ? "ended" : "unfinished",
   );
   assert.ok(answer.kind === "taken");
   assert.deepEqual(answer.stopCommands, [
@@ -76,6 +72,28 @@
   ]);
 });
 
+// guards against a renewed lease of a task that was cancelled before this process began
+test("a lease isn't renewed while it is undetermined whether a task's job has ended, but the leader hears of it", () => {
+  const partition = newPartition("b");
+  const task = (job: string, state: "running" | "exited") => ({
+    ...{ job, index: 0, attempt: 7, state, exitReason: null },
+  });
+  const answerTo = (sequence: number, tasks: ReturnType<typeof task>[]) =>
+    partition.handleHeartbeat(heartbeatWith({ sequence, tasks }), true, 2, instant(sequence), (job) =>
+      job === "req-1" ? "undetermined" : "unfinished",
+    );
+  const answer = answerTo(1, [task("req-2", "running"), task("req-1", "running")]);
+  assert.deepEqual(answer, { kind: "unsure" });
+  const update = partition.takeUpdate(instant(1));
+  assert.equal(update.heartbeats.length, 1);
+  assert.deepEqual(
+    update.contacts.map(({ answerAgeMs }) => answerAgeMs),
+    [-1],
+  );
+  // a task that has exited needs no lease
+  assert.equal(answerTo(2, [task("req-2", "running"), task("req-1", "exited")]).kind, "taken");
+});
+
 test("updates contain only changes, and everything again for a new leader", () => {
   const partition = newPartition("b");
   const handleHeartbeat = (sequence: number, ms: number) =>
