The reading of jobs is a module of its own, apart from the cache that it fills

Change: src/service/job-reader.ts lists, watches and reads the missed ends; JobCache holds what is known and does no I/O. What the service does is as before.

--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -12,6 +12,7 @@
 import { ApiServer } from "./api/api-server.js";
 import { JobStatusReader } from "./api/job-status.js";
 import { JobCache } from "./job-cache.js";
+import { JobReader } from "./job-reader.js";
 import { JobReleaser } from "./leader/job-releaser.js";
 import { Leader, type LeaderServices } from "./leader/leader.js";
 import { Member } from "./members/member.js";
@@ -59,6 +60,7 @@
 /** The parts by which this node takes part in the cluster, whether or not it leads. */
 interface Cluster {
   readonly jobCache: JobCache;
+  readonly jobReader: JobReader;
   readonly membership: Membership;
   readonly member: Member;
   /** null if the settings turn shards off. */
@@ -96,13 +98,15 @@
   return Math.ceil(Math.max(writeRps, next.writeRps) * Duration.toSeconds(span) * EXPIRED_KEYS_ALLOWANCE);
 };
 
-const buildJobCache = ({ settings, state, log, timings }: BaseServices): JobCache => {
+const buildJobReader = ({ settings, state, log, timings }: BaseServices): [JobCache, JobReader] => {
   const { cancelDeadline, jobViewMaxAge } = timings;
-  return new JobCache(state, log, {
+  const maxChanges = maxChangesPerDeadline(cancelDeadline, settings.stateLimits);
+  const cache = new JobCache(log, { cancelDeadline, maxEndsPerDeadline: maxChanges });
+  const reader = new JobReader(cache, state, log, {
     watchTimeout: Duration.min(MAX_WATCH_TIMEOUT, Duration.times(jobViewMaxAge, WATCH_TIMEOUT_PER_VIEW_AGE)),
-    cancelDeadline,
-    maxChangesPerDeadline: maxChangesPerDeadline(cancelDeadline, settings.stateLimits),
+    maxChangesPerDeadline: maxChanges,
   });
+  return [cache, reader];
 };
 
 const buildMembership = (base: BaseServices, jobCache: JobCache): Membership => {
@@ -153,14 +157,14 @@
 };
 
 const buildCluster = (base: BaseServices): Cluster => {
-  const jobCache = buildJobCache(base);
+  const [jobCache, jobReader] = buildJobReader(base);
   const membership = buildMembership(base, jobCache);
   const workers = buildWorkerClient(base);
   const member = buildMember(base, membership, workers);
   const { enabled } = base.settings.operator.shards;
   const shards = enabled ? buildShards(base, membership, workers) : null;
   if (shards !== null) member.partition.lookUpOwner = shards.ownerLookup(member.partition.lookUpOwner);
-  return { jobCache, membership, member, shards };
+  return { jobCache, jobReader, membership, member, shards };
 };
 
 const maxConditions = (settings: Settings): number => settings.stateLimits.txnOps * CONDITIONS_PER_CHANGE;
@@ -217,13 +221,14 @@
 /** Connects the parts that change the term, jobs or outcomes to those that have to know of the changes. */
 const connectListeners = ({
   jobCache,
+  jobReader,
   membership,
   member,
   shards,
   status,
   leader,
 }: Omit<Controller, "apiServer">) => {
-  jobCache.isLeading = () => membership.leadership !== null;
+  jobReader.isLeading = () => membership.leadership !== null;
   membership.onTerm = (term) => {
     shards?.view.setTerm(term, membership.termRevision);
     member.partition.setTerm(term);
@@ -294,8 +299,8 @@
   Effect.gen(function* () {
     const controller = buildController(settings, log);
     yield* serve(controller);
-    const { membership, jobCache, member, leader, shards } = controller;
-    yield* Effect.all([membership.run, jobCache.run, member.run, leader.run, shards?.run ?? Effect.void], {
+    const { membership, jobReader, member, leader, shards } = controller;
+    yield* Effect.all([membership.run, jobReader.run, member.run, leader.run, shards?.run ?? Effect.void], {
       concurrency: "unbounded",
       discard: true,
     });
--- a/src/service/job-cache.ts
+++ b/src/service/job-cache.ts
@@ -1,10 +1,9 @@
 /**
- * A cache of the unfinished jobs and the machine types in the state service. It lags a little behind, and how far it
- * lags limits what this node may do (S9); see `currentAsOf`.
+ * A cache of the unfinished jobs and the machine types in the state service, and of the jobs that ended lately. `JobReader`
+ * keeps it up to date. It lags a little behind, and how far it lags limits what this node may do (S9); see `currentAsOf`.
  */
 import * as Duration from "effect/Duration";
-import * as Effect from "effect/Effect";
-import { type Instant, hasElapsed } from "../core/time.js";
+import type { Instant } from "../core/time.js";
 import { EndedJobs, type JobStanding } from "../core/jobs/ended-jobs.js";
 import { BlockedJobs } from "../core/jobs/fanin.js";
 import { type FaninRecord, type JobSpec, keys, type MachineType } from "../core/records.js";
@@ -20,7 +19,6 @@
   type WireMachineType,
 } from "../io/codec.js";
 import type { Log } from "../io/log.js";
-import type { StateClient, StateError } from "../io/state-client.js";
 
 /** A released job. */
 export interface ReleasedJob {
@@ -55,32 +53,17 @@
 
 /** Settings of `JobCache`. */
 export interface JobCacheOptions {
-  /** How long a watch waits for changes. Until it is answered, `currentAsOf` stays behind. */
-  readonly watchTimeout: Duration.Duration;
   /** How long a task may still run after its job was cancelled. */
   readonly cancelDeadline: Duration.Duration;
-  /** The most changes that the state service makes within `cancelDeadline`. */
-  readonly maxChangesPerDeadline: number;
+  /** The most jobs that end within `cancelDeadline`. */
+  readonly maxEndsPerDeadline: number;
 }
 
-const MIN_REMEMBERED_ENDED_JOBS = 20_000;
-/** By default the whole history that the state service keeps. */
 const DEFAULT_OPTIONS: JobCacheOptions = {
-  watchTimeout: Duration.seconds(2),
   cancelDeadline: Duration.seconds(60),
-  maxChangesPerDeadline: 10_000,
+  maxEndsPerDeadline: 10_000,
 };
-/**
- * The pause between two watches, so that one answer has several changes. The leader's is shorter, since it starts the
- * jobs that come in.
- */
-const BATCHING_DELAY = Duration.millis(500);
-const LEADER_BATCHING_DELAY = Duration.millis(150);
-const RELIST_PAUSE = Duration.millis(300);
-const RETRY_PAUSE = Duration.millis(500);
-/** How often the machine types are read: while none are known, and afterwards. */
-const TYPES_INTERVAL_UNTIL_KNOWN = Duration.seconds(0.3);
-const TYPES_INTERVAL = Duration.seconds(30);
+const MIN_REMEMBERED_ENDED_JOBS = 20_000;
 
 /** A record that doesn't say when it was accepted counts as accepted now. */
 const acceptanceInstantOf = (record: unknown): Instant => {
@@ -88,7 +71,7 @@
   return date === null ? now() : instantOfDate(date);
 };
 
-/** Follows the jobs by a watch while `run` runs, and also takes in records that this process reads or writes. */
+/** What this process knows of jobs. It also takes in records that other parts of the process read or write. */
 export class JobCache {
   /** Released jobs, by id. */
   readonly releasedJobs = new Map<string, ReleasedJob>();
@@ -102,8 +85,6 @@
   private readonly ended: EndedJobs;
   /** Released jobs whose record can't be parsed, by id. They may run all the same: another version may read them. */
   private readonly unreadableJobs = new Set<string>();
-  /** The revision up to which every end is known; null: none yet. */
-  private endsKnownUpTo: number | null = null;
   /** The machine types; empty if they aren't known yet. */
   types: readonly MachineType[] = [];
   /** Whether all unfinished jobs have been read once. */
@@ -113,9 +94,7 @@
    * renewed. It is the time at which the latest answered list or watch was sent; null before the first one (S9).
    */
   currentAsOf: Instant | null = null;
-  /** Whether this node leads; changes are then read more often. Set once before `run`, like the listeners below. */
-  isLeading: () => boolean = () => false;
-  /** A released job was first seen. */
+  /** A released job was first seen. Set once before the jobs are read, like the listeners below. */
   onReleased: (job: ReleasedJob) => void = () => undefined;
   /** An unfinished job ended. */
   onEnded: (id: string) => void = () => undefined;
@@ -127,12 +106,10 @@
   onTypes: (types: readonly MachineType[]) => void = () => undefined;
 
   constructor(
-    private readonly state: StateClient,
     private readonly log: Log,
-    private readonly options: JobCacheOptions = DEFAULT_OPTIONS,
+    { cancelDeadline, maxEndsPerDeadline }: JobCacheOptions = DEFAULT_OPTIONS,
   ) {
-    const { cancelDeadline, maxChangesPerDeadline } = options;
-    const maxJobs = Math.max(MIN_REMEMBERED_ENDED_JOBS, maxChangesPerDeadline);
+    const maxJobs = Math.max(MIN_REMEMBERED_ENDED_JOBS, maxEndsPerDeadline);
     this.ended = new EndedJobs({ cancelDeadline, maxJobs });
   }
 
@@ -251,7 +228,7 @@
   /**
    * Takes in a list of all records of unfinished jobs. Cached ones that aren't in it, and aren't newer, are removed.
    */
-  private replaceAll(rows: readonly Row[], listRevision: number): void {
+  replaceAll(rows: readonly Row[], listRevision: number): void {
     const present = new Set(rows.map((row) => row.key));
     for (const row of rows) this.putRow(row);
     const isGone = (key: string, revision: number): boolean => !present.has(key) && revision <= listRevision;
@@ -260,9 +237,11 @@
       if (isGone(keys.blockedJob(id), job.revision)) this.remove(id);
     for (const [id, fanin] of [...this.fanins])
       if (isGone(keys.fanin(id), fanin.revision)) this.fanins.delete(id);
+    this.isReady = true;
   }
 
-  private applyEvents(events: readonly WatchEvent[]): void {
+  /** Takes in the changes that a watch reported. */
+  applyEvents(events: readonly WatchEvent[]): void {
     // writes before deletes: a release writes the released job's record and deletes the blocked job's at once
     for (const { key, value, revision } of events)
       if (value !== undefined) this.putRow({ key, value, revision });
@@ -270,92 +249,16 @@
   }
 
   /**
-   * Reads the commits of the last changes before the list, half as many each time that the service no longer keeps them
-   * all. Returns how many changes before the list were covered.
+   * The ends before a list that was requested at `listedAt` were read. `isMissingEnds`: the state service's history was
+   * too short to show all of those whose tasks may still be on machines.
    */
-  private readCommits(listRevision: number, changes: number): Effect.Effect<number, StateError> {
-    if (changes === 0) return Effect.succeed(0);
-    return this.state.watch(keys.commits, listRevision - changes, Duration.zero).pipe(
-      Effect.map(({ events }) => {
-        for (const { key } of events) this.remove(key.slice(keys.commits.length));
-        return changes;
-      }),
-      Effect.catchTag("TooOld", () => this.readCommits(listRevision, Math.floor(changes / 2))),
-    );
+  endsRead(listedAt: Instant, isMissingEnds: boolean): void {
+    this.ended.listed(listedAt, isMissingEnds);
   }
 
-  /**
-   * Learns of the jobs that ended before the list at `listRevision` was read, which doesn't show them: those since the last
-   * read or, in a new process, those whose tasks may still be on machines.
-   */
-  private readonly readMissedEnds = (listedAt: Instant, listRevision: number) =>
-    Effect.gen(this, function* () {
-      const { maxChangesPerDeadline } = this.options;
-      const missedChanges =
-        this.endsKnownUpTo === null ? Infinity : Math.max(0, listRevision - this.endsKnownUpTo);
-      const changes = Math.min(listRevision, missedChanges, maxChangesPerDeadline);
-      const covered = yield* this.readCommits(listRevision, changes);
-      const isMissingEnds = covered < changes;
-      this.ended.listed(listedAt, isMissingEnds);
-      const details = { listRevision, changes, covered };
-      if (isMissingEnds)
-        this.log.warn(
-          details,
-          "the state service's history is too short to show all jobs that ended recently",
-        );
-      else if (this.endsKnownUpTo === null) this.log.info(details, "read the jobs that ended recently");
-    });
-
-  /** The view is complete as of a read that was requested at `requestedAt` and answered with `revision`. */
-  private viewRead(requestedAt: Instant, revision: number): void {
+  /** All that had happened before a read that was requested at `requestedAt` is cached. */
+  viewRead(requestedAt: Instant): void {
     this.ended.readAnswered(requestedAt, (id) => this.mayRun(id));
-    this.endsKnownUpTo = revision;
     this.currentAsOf = requestedAt;
   }
-
-  private readonly jobLoop = Effect.gen(this, function* () {
-    const { watchTimeout } = this.options;
-    const listedAt = now();
-    const list = yield* this.state.list(keys.unfinished);
-    this.replaceAll(list.rows, list.revision);
-    this.isReady = true;
-    // the list doesn't show which jobs have ended, so it alone makes the view no newer (S9)
-    yield* this.readMissedEnds(listedAt, list.revision);
-    this.viewRead(listedAt, list.revision);
-    let { revision } = list;
-    let lastReadAt = listedAt;
-    for (;;) {
-      const requestedAt = now();
-      // if the last answer was slow, the view is old: a watch with no timeout is answered at once
-      const isLate = hasElapsed(requestedAt, lastReadAt, Duration.times(watchTimeout, 2));
-      const answer = yield* this.state.watch(
-        keys.unfinished,
-        revision,
-        isLate ? Duration.zero : watchTimeout,
-      );
-      this.applyEvents(answer.events);
-      revision = answer.revision;
-      lastReadAt = requestedAt;
-      this.viewRead(requestedAt, revision);
-      yield* Effect.sleep(this.isLeading() ? LEADER_BATCHING_DELAY : BATCHING_DELAY);
-    }
-  }).pipe(
-    Effect.catchAll((error) =>
-      Effect.sync(() => this.log.debug({ reason: error._tag }, "watch of jobs failed; listing them again")),
-    ),
-    Effect.zipRight(Effect.sleep(RELIST_PAUSE)),
-    Effect.forever,
-  );
-
-  private readonly typeLoop = Effect.gen(this, function* () {
-    const row = yield* this.state.get(keys.types, "later");
-    if (row !== null) this.setTypes(row.value as WireMachineType[]);
-    yield* Effect.sleep(this.types.length === 0 ? TYPES_INTERVAL_UNTIL_KNOWN : TYPES_INTERVAL);
-  }).pipe(
-    Effect.catchAll(() => Effect.sleep(RETRY_PAUSE)),
-    Effect.forever,
-  );
-
-  /** Follows the jobs and the machine types for ever; failures are retried. */
-  readonly run = Effect.all([this.jobLoop, this.typeLoop], { concurrency: 2, discard: true });
 }
--- a/test/job-cache.test.ts
+++ b/test/job-cache.test.ts
@@ -8,6 +8,7 @@
 import { makeLog } from "../src/io/log.js";
 import { StateClient } from "../src/io/state-client.js";
 import { JobCache } from "../src/service/job-cache.js";
+import { JobReader } from "../src/service/job-reader.js";
 import { until } from "./controller-process.js";
 import { FakeStateService } from "./fakes/fake-state-service.js";
 
@@ -36,12 +37,9 @@
   await service.start();
   before(service);
   const state = new StateClient(service.addr, { rps: 10_000, writeRps: 10_000 }, 1);
-  const cache = new JobCache(state, log, {
-    watchTimeout: Duration.millis(100),
-    cancelDeadline: Duration.hours(1),
-    maxChangesPerDeadline: 100,
-  });
-  const running = Effect.runFork(cache.run);
+  const cache = new JobCache(log, { cancelDeadline: Duration.hours(1), maxEndsPerDeadline: 100 });
+  const options = { watchTimeout: Duration.millis(100), maxChangesPerDeadline: 100 };
+  const running = Effect.runFork(new JobReader(cache, state, log, options).run);
   try {
     await check(cache, service);
   } finally {
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -13,6 +13,7 @@
 import { Membership } from "../src/service/members/membership.js";
 import { JobCache } from "../src/service/job-cache.js";
 import { JobStatusReader } from "../src/service/api/job-status.js";
+import { until } from "./controller-process.js";
 import { FakeStateService } from "./fakes/fake-state-service.js";
 
 const fakeState = new FakeStateService();
@@ -24,14 +25,6 @@
 });
 after(() => fakeState.stop());
 
-const until = async (what: string, fits: () => boolean): Promise<void> => {
-  for (let i = 0; i < 1200; i++) {
-    if (fits()) return;
-    await new Promise((done) => setTimeout(done, 25));
-  }
-  assert.fail(`never: ${what}`);
-};
-
 test("a late write by an earlier process doesn't take the member key from its successor for long", async () => {
   const timings = leaseTimingsOf({ leaseS: 10, reportS: 1, cancelS: 30 }, Duration.seconds(1));
   const earlier = await Effect.runPromise(state.grantLease(Duration.seconds(600)));
@@ -101,7 +94,7 @@
     },
   } as unknown as StateClient;
   // four conditions allow two jobs a batch
-  const status = new JobStatusReader(fake, new JobCache(fake, log), 4, log);
+  const status = new JobStatusReader(fake, new JobCache(log), 4, log);
   const ask = (...ids: string[]) =>
     Effect.runPromise(
       Effect.forEach(ids, (id) => Effect.either(status.statusOf(id)), { concurrency: "unbounded" }),
@@ -140,7 +133,7 @@
     ...{ ref, roster: "maps", crew: "red", shape: "array", urgency: "normal", chores: 2, vcpus: 1 },
     ...{ mem_gb: 1, bundle: "img", image_gb: 1, awaits },
   });
-  const jobCache = new JobCache(fake, log);
+  const jobCache = new JobCache(log);
   const jobCaches = [jobCache];
   const stored = (key: string) =>
     jobCaches
@@ -169,7 +162,7 @@
     JSON.stringify(compared),
   );
   // the same holds for a cache that lacks the jobs in between
-  const partialCache = new JobCache(fake, log);
+  const partialCache = new JobCache(log);
   jobCaches.push(partialCache);
   partialCache.putBlocked(keys.blockedJob("req-8"), record("req-8", ["req-3"]), 1);
   commits.delete("commit/req-4");
@@ -211,7 +204,7 @@
         return value === undefined ? null : { key, value, revision: 1 };
       }),
   } as unknown as StateClient;
-  return { rows, fake, jobCache: new JobCache(fake, log) };
+  return { rows, fake, jobCache: new JobCache(log) };
 };
 const CANCELLED = { outcome: "cancelled", tasks: 2 };
 const CHAIN = { "req-2": ["req-1"], "req-3": ["req-2"], "req-4": ["req-3"] };
@@ -219,7 +212,7 @@
 test("a refused cancel of a blocked job is retried after growing pauses, however often it is requested", async () => {
   const refuses = (written: readonly string[]): boolean => written.includes(keys.commit("req-77"));
   fakeState.rejectionRules.add(refuses);
-  const status = new JobStatusReader(state, new JobCache(state, log), 64, log);
+  const status = new JobStatusReader(state, new JobCache(log), 64, log);
   const cancel = () => Effect.runPromise(Effect.either(status.cancelBlocked("req-77", 2)));
   const startedAt = Date.now();
   for (let i = 0; i < 20; i++) assert.equal((await cancel())._tag, "Left");
--- a/test/wire-bytes.test.ts
+++ b/test/wire-bytes.test.ts
@@ -95,7 +95,7 @@
 before(async () => {
   await fakeState.start();
   const state = new StateClient(fakeState.addr, { rps: 10_000, writeRps: 10_000 }, 1);
-  jobCache = new JobCache(state, log);
+  jobCache = new JobCache(log);
   const status = new JobStatusReader(state, jobCache, 16, log);
   const member = {
     handleHeartbeat: () => heartbeatAnswers.shift(),
