A member sends each batch of the leader's commands at most once (copies of messages between controllers)

A member reports a batch as unsent (the worker refused the connection) or barred (it couldn't act), the leader starts the tasks elsewhere, and a late copy of the leader's message makes the member send the batch after all: the task runs on two machines.

Cause: members didn't recognise copies, although batches are numbered.

Fix: a process keeps the number of the latest batch for each machine and handles none twice.

--- a/src/service/members/command-deliverer.ts
+++ b/src/service/members/command-deliverer.ts
@@ -4,6 +4,7 @@
  */
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
+import { ReceivedBatches } from "../../core/members/received-batches.js";
 import type { WorkerPartition } from "../../core/members/worker-partition.js";
 import type { Heartbeat, TermRecord } from "../../core/records.js";
 import type { CommandOutcome } from "../../core/scheduler/decisions.js";
@@ -18,6 +19,8 @@
 /** A delivery that arrives before its term, or before this node may act, waits up to half a second for each. */
 const MAX_READINESS_CHECKS = 20;
 const READINESS_CHECK_INTERVAL = Duration.millis(25);
+/** How many machines' latest batches are remembered: several times the number of machines that there may be. */
+const MAX_REMEMBERED_MACHINES = 20_000;
 
 interface CommandReply {
   readonly outcome: CommandOutcome;
@@ -33,6 +36,8 @@
 
 /** Sends batches of commands to workers and records their outcomes for the leader. */
 export class CommandDeliverer {
+  private readonly receivedBatches = new ReceivedBatches(MAX_REMEMBERED_MACHINES);
+
   constructor(
     private readonly membership: Membership,
     private readonly workers: WorkerClient,
@@ -43,11 +48,13 @@
 
   /**
    * Starts to send the batches, and answers whether it did; their outcomes go to the leader with the member's updates.
-   * None is sent if this node may not send under that term, or if too many requests to workers are in progress.
+   * None is sent if this node may not send under that term, or if too many requests to workers are in progress. A batch
+   * that was received before isn't sent again.
    */
   deliver(delivery: CommandDelivery): Effect.Effect<DeliveryReceipt> {
     return Effect.gen(this, function* () {
-      const { term, batches } = delivery;
+      const { term } = delivery;
+      const batches = delivery.batches.filter(({ machine, id }) => this.receivedBatches.receive(machine, id));
       const knowsTerm = (): boolean => (this.membership.term?.number ?? 0) >= term.number;
       if (!knowsTerm()) {
         this.membership.observeTerm(term.number);
--- a/test/concurrent-faults-copies.test.ts
+++ b/test/concurrent-faults-copies.test.ts
@@ -1,5 +1,6 @@
 /**
- * Concurrent faults (docs/concurrent-faults.md) around late copies of commands: every request to a worker, update to the leader and move of a shard is kept, and copies of any of them arrive at any later time (S4). The
+ * Concurrent faults (docs/concurrent-faults.md) around late copies of commands: every request to a worker, message to a
+ * member, update to the leader and move of a shard is kept, and copies of any of them arrive at any later time (S4). The
  * checks are those of `concurrent-faults.test.ts`; besides, no worker may start an attempt again that it has forgotten.
  */
 import * as Duration from "effect/Duration";
@@ -48,6 +49,7 @@
     },
     minimumCounts: {
       "copies of requests to workers": 1000,
+      "copies of messages to members": 1000,
       "copies of updates to leaders": 1500,
       "copies of such starts within the session": 400,
     },
@@ -92,6 +94,22 @@
     },
     guards: [["forget_fence", ["ran_twice", "started_again", "cancelled_started_again"]]],
   },
+  {
+    name: "copies of messages arrive after members could not act or could not reach the worker",
+    run: (world, seed) => {
+      enableCopies(world);
+      world.refusedConnectionShare = 0.15;
+      world.wait(5000);
+      for (let round = 0; round < 2; round++) {
+        endTasks(world);
+        const other = world.nodes[seed % world.nodes.length]!;
+        other.stateCutUntil = world.now + 3500;
+        world.wait(6000);
+      }
+    },
+    minimumCounts: { "connections refused by workers": 300, "copies recognised by members": 1000 },
+    guards: [["received_batches", ["ran_twice"]]],
+  },
   {
     name: "copies arrive while commands are held up and answers are lost, over slow links",
     run: (world) => {
--- a/test/mixed-versions-copies.test.ts
+++ b/test/mixed-versions-copies.test.ts
@@ -56,6 +56,7 @@
     [`${earlier} leaders`]: 30,
     "processes downgraded": 30,
     "copies of requests to workers": 1000,
+    "copies of messages to members": 300,
     "copies of such starts within the session": 300,
   },
   guards: [["forget_fence", ["started_again", "cancelled_started_again", "ran_twice"]]],
--- a/test/model/command-copies.ts
+++ b/test/model/command-copies.ts
@@ -1,5 +1,5 @@
 /**
- * Late copies of commands: every request to a worker and every update from a
+ * Late copies of commands: every request to a worker, every message from the leader to a member and every update from a
  * member to the leader is kept, and copies of them arrive at any later step.
  */
 import { STEP_MS } from "./settings.js";
@@ -13,8 +13,8 @@
 /** Delivers a copy of one message. */
 export type CopyDelivery = () => void;
 
-/** What is copied: a request to a worker, a member's update, or a move of a shard. */
-export type MessageKind = "request" | "update" | "move";
+/** What is copied: a request to a worker, a leader's message to a member, a member's update, or a move of a shard. */
+export type MessageKind = "request" | "delivery" | "update" | "move";
 
 /** The messages of which copies may arrive. */
 export class KeptMessages {
--- a/test/model/commands.ts
+++ b/test/model/commands.ts
@@ -74,11 +74,20 @@
       if (via.alive && via.incarnation === incarnation) receiveDelivery(world, delivery);
     }),
   );
+  if (via === leader || leader.version !== "new") return;
+  keepForCopies(world, "delivery", () => {
+    // an earlier version doesn't recognise copies
+    if (via.version !== "new") return;
+    world.count("copies of messages to members");
+    whenAwake(world, via, () => {
+      if (via.alive) receiveDelivery(world, delivery);
+    })();
+  });
 }
 
-/** A member receives a batch and sends it to the worker if it may. */
+/** A member receives a batch, or a copy of it, and sends it to the worker if it may. */
 function receiveDelivery(world: WorldState, delivery: Delivery): void {
-  const { term, via, batchId } = delivery;
+  const { term, via, batchId, batch } = delivery;
   const { incarnation } = via;
   let outcome: CommandOutcome | null = null;
   const settled = (result: CommandOutcome, heartbeat: Heartbeat | null): void => {
@@ -88,7 +97,14 @@
   };
   const settle = (result: CommandOutcome, heartbeat: Heartbeat | null): void =>
     whenAwake(world, via, () => settled(result, heartbeat))();
+  const isNew = via.receivedBatches.receive(batch.machine, batchId);
+  if (!isNew && via.version === "new" && world.disabledGuard !== "received_batches")
+    return world.count("copies recognised by members");
   if (via.term?.number !== term.number || !mayAct(world, via)) return settle("barred", null);
+  if (world.refusedConnectionShare > 0 && world.copyRandom() < world.refusedConnectionShare) {
+    world.count("connections refused by workers");
+    return settle("unsent", null);
+  }
   sendToWorker(world, delivery, settle);
 }
 
--- a/test/model/nodes.ts
+++ b/test/model/nodes.ts
@@ -6,6 +6,7 @@
 import { type WorldState } from "./world-state.js";
 import { type Command, type TermRecord } from "../../src/core/records.js";
 import { EndedJobs } from "../../src/core/jobs/ended-jobs.js";
+import { ReceivedBatches } from "../../src/core/members/received-batches.js";
 import { WorkerPartition } from "../../src/core/members/worker-partition.js";
 import { type Scheduler } from "../../src/core/scheduler/scheduler.js";
 import { type Instant } from "../../src/core/time.js";
@@ -44,6 +45,8 @@
   frozenUntil: number;
   pendingCommands: Map<number, { machine: string; orders: readonly Command[]; token: number; at: number }>;
   batchCount: number;
+  /** The batches that it has received from leaders. */
+  receivedBatches: ReceivedBatches;
   scheduler: Scheduler | null;
   leaderRevision: number;
   startedAt: number;
@@ -59,6 +62,7 @@
 }
 
 const MAX_ENDED_JOBS = 20_000;
+const MAX_REMEMBERED_MACHINES = 20;
 
 /** The state of a newly started process. */
 export function newNode(world: WorldState, name: string, zone: string): Omit<Node, "version"> {
@@ -87,6 +91,7 @@
     frozenUntil: 0,
     pendingCommands: new Map(),
     batchCount: 0,
+    receivedBatches: new ReceivedBatches(MAX_REMEMBERED_MACHINES),
     scheduler: null,
     leaderRevision: 0,
     startedAt: world.now,
--- a/test/model/settings.ts
+++ b/test/model/settings.ts
@@ -15,6 +15,8 @@
   | "unknown_outcome"
   /** Workers are told to forget an attempt under the token of its start. */
   | "forget_fence"
+  /** A member sends a batch again when a copy of the leader's message arrives. */
+  | "received_batches"
   /** A leader does not know the limits of teams. */
   | "quota"
   /** A leader does not know the zones and machine types that jobs require. */
--- a/test/model/versions.ts
+++ b/test/model/versions.ts
@@ -5,7 +5,7 @@
 
 /**
  * "old" is the version in production. "previous" is the last release: it knows waiting jobs. Neither raises a machine's
- * token before an attempt is forgotten.
+ * token before an attempt is forgotten, nor recognises copies of the leader's messages.
  */
 export type Version = "old" | "previous" | "new";
 
--- a/test/model/world-state.ts
+++ b/test/model/world-state.ts
@@ -52,6 +52,8 @@
   keepsMessages = false;
   /** How many late copies of kept messages arrive per second. */
   copiesPerSecond = 0;
+  /** Share of command batches for which the member can't connect to the worker. */
+  refusedConnectionShare = 0;
   readonly keptMessages = new KeptMessages();
   /** A random sequence for copies, so that runs without them keep their history. */
   readonly copyRandom: () => number;
--- a/test/model/world.ts
+++ b/test/model/world.ts
@@ -343,6 +343,7 @@
     this.lostAnswerShare = 0;
     this.lateCommandShare = 0;
     this.copiesPerSecond = 0;
+    this.refusedConnectionShare = 0;
     this.fastBoots = false;
     this.probeShare = 0;
     this.lateHeartbeatShare = 0;
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -61,11 +61,12 @@
     assert.ok(missedUpdates > 200, `only ${missedUpdates} missed updates`);
   });
 
-/** Copies of any earlier message arrive from some moment on. */
+/** Copies of any earlier message arrive from some moment on, and some connections to workers are refused. */
 const runWithCopies = (seed: number, guard: Guard | null, copiesFromMs: number): World => {
   // a new term would make workers refuse late copies by itself
   const world = new World(seed, guard, copiesFromMs > 0 ? 0.1 : 1);
   world.keepsMessages = true;
+  world.refusedConnectionShare = 0.05;
   world.runTo(copiesFromMs).copiesPerSecond = 6;
   return world.runTo(180_000);
 };
@@ -84,6 +85,8 @@
   }
   const forgottenStarts = totals.get("copies of such starts within the session") ?? 0;
   assert.ok(forgottenStarts > 1500, `only ${forgottenStarts} copies of starts whose attempts were forgotten`);
+  const deliveries = totals.get("copies of messages to members") ?? 0;
+  assert.ok(deliveries > 4000, `only ${deliveries} copies of messages to members`);
 });
 
 // a copy of a start runs a forgotten attempt again, also of a cancelled job, before its tasks have to be gone and after
@@ -92,6 +95,7 @@
   ["forget_fence", "ran_twice", 0],
   ["forget_fence", "cancelled_started_again", 0],
   ["forget_fence", "ran_cancelled", LATE_COPIES_FROM_MS],
+  ["received_batches", "ran_twice", 0],
 ] as const)
   // with shards the handoffs raise all machines' tokens before the late copies arrive
   if (!World.withShards || copiesFromMs === 0)
