--- a/src/core/commands/command-sender.ts
+++ b/src/core/commands/command-sender.ts
@@ -1,7 +1,6 @@
 /**
  * Decides which command batches are sent to workers, with at most one batch in flight per machine, and applies their
- * outcomes. This includes working out whether an unanswered start may still be executed (S2, S4). Machines that are
- * silent or unconfirmed are probed: sent a batch without commands, which the worker answers with a heartbeat.
+ * outcomes. This includes working out whether an unanswered start may still be executed (S2, S4).
  */
 import * as Duration from "effect/Duration";
 import {
@@ -14,21 +13,14 @@
 } from "../cluster/cluster.js";
 import { isSameOrNewer, removeAttempt, type HeartbeatId } from "../cluster/cluster.js";
 import type { Decision, CommandOutcome } from "../scheduler/decisions.js";
+import { MachineProber } from "./machine-prober.js";
 import type { PendingCommands } from "./pending-commands.js";
 import { fenceBatch, raiseToken } from "./start-fencing.js";
 import type { Command } from "../records.js";
 import type { SchedulerContext } from "../scheduler/scheduler-context.js";
 import { termNumberOf, fencingTokenOf } from "../leases/term.js";
-import { type Instant, hasElapsed, plus } from "../time.js";
+import { type Instant, plus } from "../time.js";
 
-/** How long after a probe the machine is probed again. */
-const PROBE_INTERVAL = Duration.seconds(1);
-/** The interval for silent machines after several unanswered batches: a partition may cut off hundreds of machines. */
-const SLOW_PROBE_INTERVAL = Duration.seconds(4);
-const UNANSWERED_BATCHES_BEFORE_SLOW_PROBING = 4;
-/** A step probes at most this many machines, or this share if that is more: after a failover all need probing. */
-const MIN_PROBE_LIMIT = 12;
-const PROBE_LIMIT_SHARE = 0.01;
 /** How long no commands are decided for a machine after a node was barred from sending to it. */
 const BLOCK_DURATION = Duration.millis(500);
 /** In place of the token of a batch that never left the scheduler. */
@@ -43,16 +35,14 @@
   readonly answeredBy: HeartbeatId;
 }
 
-/** Sends command batches and probes. Owns the list of machines that are blocked because a batch could not be sent. */
+/** Sends command batches, and probes as batches without commands. Owns the list of machines that are blocked because a batch could not be sent. */
 export class CommandSender {
   /** Machines whose commands could not be sent, and until when no commands are decided for them. */
   private readonly blockedUntil = new Map<Machine, Instant>();
-  /** A machine is probed if its latest heartbeat is at least this old. */
-  private readonly probeAfter: Duration.Duration;
+  private readonly prober: MachineProber;
 
   constructor(private readonly context: SchedulerContext) {
-    const interval = Duration.times(context.options.timings.heartbeatInterval, 1.25);
-    this.probeAfter = Duration.sum(interval, Duration.millis(500));
+    this.prober = new MachineProber(context);
   }
 
   /** Lifts the blocks that have expired, so that commands may be decided for these machines again. */
@@ -95,7 +85,10 @@
       // commands that can't be sent now are withdrawn, and decided on again in a later step
       if (!sent) this.applyResult(id, barredResult(commands), now);
     }
-    this.sendProbes(now, decisions);
+    for (const machine of this.prober.machinesToProbe(now)) {
+      machine.probedAt = now;
+      this.sendBatch(machine, [], decisions);
+    }
   }
 
   /** Sends a batch, or a probe if it is empty. Returns false if the machine's address is unknown. */
@@ -136,54 +129,6 @@
     return (inZone ?? others[0])?.name ?? null;
   }
 
-  private sendProbes(now: Instant, decisions: Decision[]): void {
-    const probeLimit = Math.max(MIN_PROBE_LIMIT, this.context.cluster.machines.size * PROBE_LIMIT_SHARE);
-    for (const machine of this.machinesToProbe(now, Math.ceil(probeLimit))) {
-      machine.probedAt = now;
-      this.sendBatch(machine, [], decisions);
-    }
-  }
-
-  /**
-   * Up to `limit` machines to be probed now. If there are more, those probed longest ago come first: with hundreds of
-   * machines behind a partition, probing the first ones again and again would keep others from being probed at all.
-   */
-  private machinesToProbe(now: Instant, limit: number): Machine[] {
-    const candidates = [...new Set(this.probeCandidates(now))].filter((machine) =>
-      this.mayProbe(machine, now),
-    );
-    if (candidates.length <= limit) return candidates;
-    const lastProbedAt = (machine: Machine): number => machine.probedAt ?? -Infinity;
-    return candidates.sort((one, other) => lastProbedAt(one) - lastProbedAt(other)).slice(0, limit);
-  }
-
-  /** Machines whose heartbeat is needed; some occur more than once. */
-  private *probeCandidates(now: Instant): Iterable<Machine> {
-    const { cluster } = this.context;
-    for (const attempt of cluster.unacknowledgedStarts) yield machineOf(cluster, attempt);
-    // an earlier leader may have started tasks on these
-    for (const machine of cluster.unconfirmed) yield machine;
-    for (const machine of cluster.byLastHeartbeat) {
-      if (!this.isSilent(machine, now)) break;
-      yield machine;
-    }
-    yield* cluster.unreachable;
-    yield* cluster.awaitingFence;
-  }
-
-  private isSilent(machine: Machine, now: Instant): boolean {
-    return machine.lastHeartbeatAt === null || hasElapsed(now, machine.lastHeartbeatAt, this.probeAfter);
-  }
-
-  private mayProbe(machine: Machine, now: Instant): boolean {
-    if (!machine.recorded || machine.addr === null) return false;
-    if (machine.commandsInFlight || machine.releaseRequestedAt !== null) return false;
-    const isProbedOften =
-      machine.unansweredBatches < UNANSWERED_BATCHES_BEFORE_SLOW_PROBING || !this.isSilent(machine, now);
-    const interval = isProbedOften ? PROBE_INTERVAL : SLOW_PROBE_INTERVAL;
-    return machine.probedAt === null || hasElapsed(now, machine.probedAt, interval);
-  }
-
   /** Applies the outcome of a batch, also of one that was not sent. */
   applyResult(id: string, result: CommandBatchResult, now: Instant): void {
     const { cluster } = this.context;
--- a/src/io/worker-client.ts
+++ b/src/io/worker-client.ts
@@ -1,4 +1,4 @@
-/** Sends commands directly to workers. Few connections are needed, since most commands travel in heartbeat responses. */
+/** Sends commands directly to workers. Answers to heartbeats carry only stops of tasks whose jobs have ended (S9). */
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
 import type { Command, Heartbeat } from "../core/records.js";
--- a/test/late-copies-on-loopback.test.ts
+++ b/test/late-copies-on-loopback.test.ts
@@ -9,7 +9,7 @@
 import { FakeStateService } from "./fakes/fake-state-service.js";
 import { post } from "./fakes/fake-server.js";
 import type { FakeWorker } from "./fakes/fake-worker.js";
-import { ServiceFixture } from "./service-fixture.js";
+import { ServiceFixture, SMALL_SITE } from "./service-fixture.js";
 
 /** Its tasks run until they are stopped; those of the other job take 50 ms. */
 const CANCELLED_JOB = "req-000019";
@@ -50,15 +50,7 @@
 before(async () => {
   await service.start();
   service.cloud.maxMachines = 1;
-  configPath = writeSettings(
-    service.settings("one", {
-      initial_size: 1,
-      teams: [{ name: "red", cpus: 4, cpus_max: 8, gpus: 0, gpus_max: 0 }],
-      objectives: [],
-      workers: { report_s: 0.2, lease_s: 10, cancel_s: 30 },
-      machine_limits: { core_share: 1, ram_mb: 200, max_connections: 1000 },
-    }),
-  );
+  configPath = writeSettings(service.settings("one", SMALL_SITE));
   controllerProcess = startController(configPath);
 });
 after(() => {
--- a/test/restart-after-cancel.test.ts
+++ b/test/restart-after-cancel.test.ts
@@ -5,7 +5,7 @@
 import { keys } from "../src/core/records.js";
 import { startController, until, writeSettings } from "./controller-process.js";
 import { FakeStateService } from "./fakes/fake-state-service.js";
-import { ServiceFixture } from "./service-fixture.js";
+import { ServiceFixture, SMALL_SITE } from "./service-fixture.js";
 
 const service = new ServiceFixture(new FakeStateService());
 const { state } = service;
@@ -32,11 +32,8 @@
   state.put(keys.commit("req-000001"), { outcome: "cancelled", tasks: 1 });
   state.remove(keys.job("req-000001"));
   const settings = service.settings("one", {
-    initial_size: 1,
-    teams: [{ name: "red", cpus: 4, cpus_max: 8, gpus: 0, gpus_max: 0 }],
-    objectives: [],
+    ...SMALL_SITE,
     workers: { report_s: 1, lease_s: 10, cancel_s: 30 },
-    machine_limits: { core_share: 1, ram_mb: 200, max_connections: 1000 },
   });
   controllerProcess = startController(writeSettings(settings));
 });
--- a/test/service-fixture.ts
+++ b/test/service-fixture.ts
@@ -9,6 +9,15 @@
   readonly json: Record<string, unknown>;
 }
 
+/** The platform's settings for one controller and a team of four processors, with workers that report often. */
+export const SMALL_SITE = {
+  initial_size: 1,
+  teams: [{ name: "red", cpus: 4, cpus_max: 8, gpus: 0, gpus_max: 0 }],
+  objectives: [],
+  workers: { report_s: 0.2, lease_s: 10, cancel_s: 30 },
+  machine_limits: { core_share: 1, ram_mb: 200, max_connections: 1000 },
+};
+
 /** Sends a request to a controller; a string is sent as it is, any other body as JSON. */
 export const request = async (
   address: string,
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -6,7 +6,7 @@
 import { after, before, test } from "node:test";
 import { startController, until, writeSettings } from "./controller-process.js";
 import { FakeStateService } from "./fakes/fake-state-service.js";
-import { ServiceFixture } from "./service-fixture.js";
+import { ServiceFixture, SMALL_SITE } from "./service-fixture.js";
 
 const service = new ServiceFixture(new FakeStateService());
 const { state, cloud } = service;
@@ -41,15 +41,7 @@
 
 before(async () => {
   await service.start();
-  configPath = writeSettings(
-    service.settings("one", {
-      initial_size: 1,
-      teams: [{ name: "red", cpus: 4, cpus_max: 8, gpus: 0, gpus_max: 0 }],
-      objectives: [],
-      workers: { report_s: 0.2, lease_s: 10, cancel_s: 30 },
-      machine_limits: { core_share: 1, ram_mb: 200, max_connections: 1000 },
-    }),
-  );
+  configPath = writeSettings(service.settings("one", SMALL_SITE));
   startProcess();
   await until("the controller answers /up", async () => (await ask("GET", "/up")).status === 200);
   // submissions get 503 until the controller knows the machine types
