--- a/src/service/leader/leader.ts
+++ b/src/service/leader/leader.ts
@@ -35,7 +35,7 @@
 const NEW_TERM_PAUSE = Duration.millis(200);
 
 /** Why a leader starts a new term. */
-type NewTermReason = "members changed" | "attempt numbers run out";
+type NewTermReason = "members changed" | "attempt numbers or token steps run out";
 
 /** This node's leader role: election, failover and all leader loops. */
 export class Leader {
@@ -138,7 +138,7 @@
     return this.context.services.member.progress.get(id) ?? { done: 0, running: 0 };
   }
 
-  /** Campaigns when there is no leader, and starts a new term when the members change or attempt numbers run out. */
+  /** Campaigns when there is no leader, and starts a new term when the members change or a term is used up. */
   private get watchMembers(): Effect.Effect<never> {
     const { log } = this.context.services;
     return this.watchOnce.pipe(
@@ -165,7 +165,7 @@
     if (schedulerLock === null) yield* this.takeOver;
     else if (membership.isTermOutdated()) yield* this.beginTerm("members changed");
     else if (schedulerLock.with((scheduler) => scheduler.needsNewTerm))
-      yield* this.beginTerm("attempt numbers run out");
+      yield* this.beginTerm("attempt numbers or token steps run out");
   });
 
   private beginTerm(reason: NewTermReason): Effect.Effect<void, StateError> {
